Serve callers through a gateway on the users' platform, thin

Cause: the product ran only against its own stand-ins. Change: a gateway role (role/gate) with partition owners (role/owner), a ledger of turns and budgets (state/turns), a layout of routes and workspaces, a roster of upstreams and a client that never repeats a request; platform/ translates the store, the announcements and the headers.

--- a/cmd/galenaward/main.go
+++ b/cmd/galenaward/main.go
@@ -22,7 +22,7 @@
 	root := &parse.Command{
 		Name: "galenaward", Help: "scheduler for agent programs",
 		Below: []*parse.Command{
-			daemon.Entry(), daemon.Sidecar(), daemon.Dev(),
+			daemon.Entry(), daemon.Sidecar(), daemon.Gateway(), daemon.Dev(),
 			opcmd.Program(), opcmd.Settings(), opcmd.Workspace(), opcmd.Key(), opcmd.Order(),
 			opcmd.Check(), opcmd.Defaults(), versionCommand(),
 		},
--- a/internal/cmdl/daemon/run.go
+++ b/internal/cmdl/daemon/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,9 @@
 	"galenaward.example/galenaward/internal/role/sidec"
 )
 
+// operatorTimeout bounds the time that a reader of metrics takes to send its request.
+const operatorTimeout = 5 * time.Second
+
 // stopper is a role that can be stopped gracefully.
 type stopper interface {
 	Stop(ctx context.Context)
@@ -35,7 +39,7 @@
 				return err
 			}
 			lg := telem.NewLogger(os.Stderr, "entry", c.VM, c.LogDebug)
-			return run(ctx, &c.Common, func(g *group.Group) (stopper, error) { return entry.Start(g, c, lg) })
+			return run(ctx, config.Millis(c.DrainMS), func(g *group.Group) (stopper, error) { return entry.Start(g, c, lg) })
 		},
 	}
 }
@@ -52,7 +56,7 @@
 				return err
 			}
 			lg := telem.NewLogger(os.Stderr, "sidecar", c.VM, c.LogDebug)
-			return run(ctx, &c.Common, func(g *group.Group) (stopper, error) { return sidec.Start(g, c, lg) })
+			return run(ctx, config.Millis(c.DrainMS), func(g *group.Group) (stopper, error) { return sidec.Start(g, c, lg) })
 		},
 	}
 }
@@ -74,7 +78,7 @@
 }
 
 // run starts a role and stops it on the first signal gracefully, on the second or after the drain time at once.
-func run(ctx context.Context, c *config.Common, start func(*group.Group) (stopper, error)) error {
+func run(ctx context.Context, drainTime time.Duration, start func(*group.Group) (stopper, error)) error {
 	graceful, forced, release := serve.Signals(ctx)
 	defer release()
 	base, end := context.WithCancel(ctx)
@@ -89,7 +93,7 @@
 	case <-g.Context().Done():
 		return g.Wait()
 	}
-	drain, cancel := context.WithTimeout(forced, config.Millis(c.DrainMS))
+	drain, cancel := context.WithTimeout(forced, drainTime)
 	defer cancel()
 	role.Stop(drain)
 	end()
--- a/internal/plat/telem/metric.go
+++ b/internal/plat/telem/metric.go
@@ -6,7 +6,10 @@
 )
 
 // Metrics is the expvar map of one process; its counters appear under the key galenaward.
-type Metrics struct{ m *expvar.Map }
+type Metrics struct {
+	m         *expvar.Map
+	latencies latencies
+}
 
 // NewMetrics returns an empty set of metrics.
 func NewMetrics() *Metrics { return &Metrics{m: new(expvar.Map).Init()} }
--- /dev/null
+++ b/internal/role/gate/home.go
@@ -0,0 +1,227 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/role/owner"
+	"galenaward.example/galenaward/internal/sched/roster"
+	"galenaward.example/galenaward/internal/state/turns"
+	"galenaward.example/galenaward/internal/wire/events"
+	"galenaward.example/galenaward/internal/wire/httpc"
+)
+
+const (
+	// detachedRetry is when a caller may come back while the store takes no appends.
+	detachedRetry = time.Second
+	// warmBonus is the requests per slot by which another engine must be less loaded to run a turn whose cache stands
+	// elsewhere.
+	warmBonus = 0.35
+	// adoptTimeout bounds the handing of a turn to the new holder of its partition.
+	adoptTimeout = 500 * time.Millisecond
+	// chainTimeout bounds the search for a chain in other partitions.
+	chainTimeout = 500 * time.Millisecond
+)
+
+// turnRun is a turn at its home.
+type turnRun struct {
+	*turnRequest
+	gate  *Gate
+	part  *owner.Partition
+	begun owner.Begun
+	out   sink
+	// scan reads the events that were passed on.
+	scan events.Scanner
+}
+
+// runTurn runs a turn of a program whose partition this process holds.
+func (g *Gate) runTurn(ctx context.Context, q *turnRequest, out sink) *fault.Fault {
+	p, ok := g.owner.Held(q.Partition)
+	if !ok {
+		return g.refuse(fault.Moved, "home", "partition %d is not held here", q.Partition)
+	}
+	t := &turnRun{turnRequest: q, gate: g, part: p, out: out}
+	if f := t.begin(ctx); f != nil {
+		return f
+	}
+	deadline, _ := ctx.Deadline()
+	a := q.attempts(deadline)
+	prompt := turns.Prompt(t.begun.Chain, q.Call.Body)
+	warm := g.warm.of(t.begun.Claim.Program)
+	for a.more() && ctx.Err() == nil {
+		u, ok := g.pick(a, warm, warmBonus)
+		if !ok {
+			break
+		}
+		ans, v, ok := g.exchange(ctx, a, u, prompt, urgency(q))
+		if ok {
+			return t.stream(ctx, a, u, v, ans)
+		}
+		if a.ran {
+			break
+		}
+	}
+	t.part.End(t.begun, 0)
+	return g.giveUp(ctx, a)
+}
+
+// urgency returns the engine's priority for the turn: 0 first. Programs under way go before those that begin.
+func urgency(q *turnRequest) int {
+	u := min(9, 2*q.Rank+1)
+	if q.Call.Turn.Previous != "" {
+		u--
+	}
+	return u
+}
+
+// begin reserves the turn's tokens and finds its chain.
+func (t *turnRun) begin(ctx context.Context) *fault.Fault {
+	g, q := t.gate, t.turnRequest
+	previous := turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous}
+	var err error
+	t.begun, err = t.part.Begin(q.claim(), previous, time.Now())
+	if errors.Is(err, turns.ErrUnknown) {
+		if f := g.importChain(ctx, t.part, previous); f != nil {
+			return f
+		}
+		t.begun, err = t.part.Begin(q.claim(), previous, time.Now())
+	}
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, turns.ErrBudget):
+		return g.refuse(fault.BudgetExhausted, "budget", "%v", err)
+	case errors.Is(err, owner.ErrDetached):
+		return g.refuse(fault.LogUnavailable, "budget", "the budget cannot be recorded: %v", err).WithRetryAfter(detachedRetry)
+	case errors.Is(err, owner.ErrMoved):
+		return g.refuse(fault.Moved, "home", "%v", err)
+	}
+	return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(retrySoon)
+}
+
+// stream passes an engine's answer on. Its end is told once the turn is durable.
+func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, v Verdict, ans *httpc.Answer) *fault.Fault {
+	defer ans.Close()
+	g := t.gate
+	if err := t.part.Await(ctx, t.begun.Ticket); err != nil && !errors.Is(err, owner.ErrDetached) {
+		t.part.End(t.begun, 0)
+		g.outcome(ctx, a, u, roster.Abandoned, err)
+		return g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
+	}
+	h := g.codec.Backward(ans.Header)
+	if err := t.out(part{Status: ans.Status, Header: h}); err != nil {
+		return t.abandon(u, err)
+	}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := ans.Body.Read(buf)
+		if n > 0 {
+			t.scan.Write(buf[:n])
+			if werr := t.out(part{Body: slices.Clone(buf[:n])}); werr != nil {
+				return t.abandon(u, werr)
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.part.End(t.begun, t.tokens())
+			g.broken(ctx, a, u, err)
+			return g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.Count(), err).WithOutcome(fault.Ran)
+		}
+	}
+	g.ended(u, v)
+	g.warm.set(t.begun.Claim.Program, u.Instance)
+	return t.finish(ctx, ans.Status)
+}
+
+// tokens returns what was handed out, a broken event included.
+func (t *turnRun) tokens() int64 {
+	n := t.scan.Count()
+	if !t.scan.Clean() {
+		n++
+	}
+	return n * t.EventTokens
+}
+
+func (t *turnRun) abandon(u roster.Upstream, err error) *fault.Fault {
+	t.part.End(t.begun, t.tokens())
+	t.gate.roster.Done(u.Instance, roster.Abandoned, time.Now())
+	return t.gate.callerGone(err)
+}
+
+// finish makes a turn that was answered whole durable.
+func (t *turnRun) finish(ctx context.Context, status int) *fault.Fault {
+	if status != http.StatusOK {
+		t.part.End(t.begun, t.tokens())
+		return nil
+	}
+	done := turns.Turn{
+		Ref: turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, Program: t.Call.Program, Previous: t.Call.Turn.Previous,
+		Input: t.Call.Body, Output: slices.Clone(t.scan.Data()),
+		Until: time.Now().Add(time.Duration(t.RetentionMS) * time.Millisecond).UnixMilli(),
+	}
+	ticket, err := t.part.Finish(t.begun, done, t.tokens(), time.Now())
+	if err == nil {
+		err = t.part.Await(ctx, ticket)
+	}
+	if errors.Is(err, owner.ErrMoved) {
+		err = t.gate.handTurn(ctx, t.Partition, append(t.begun.Chain, done))
+	}
+	if errors.Is(err, owner.ErrDetached) {
+		t.gate.note("turn_not_durable", "request", t.Call.ID, "partition", t.Partition, "cause", err)
+		return nil
+	}
+	if err != nil {
+		return t.gate.refuse(fault.UpstreamFailed, "history", "the turn could not be kept: %v", err).WithOutcome(fault.Ran)
+	}
+	return nil
+}
+
+// handTurn gives a turn that was answered whole to the new holder of its partition.
+func (g *Gate) handTurn(ctx context.Context, partition int, ts []turns.Turn) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	for {
+		g.owner.Look(ctx, false)
+		address, self, ok := g.owner.AddressOf(partition)
+		q := adoptRequest{Partition: partition, Turns: heldTurns(ts)}
+		var err error
+		switch {
+		case !ok:
+			err = errors.Wrapf(owner.ErrMoved, "partition %d", partition)
+		case self:
+			_, err = g.adopt(ctx, q)
+		default:
+			_, err = ask[adoptAnswer](ctx, g.peers, address, adoptPath, q)
+		}
+		if err == nil {
+			g.note("turn_handed_over", "partition", partition, "turn", ts[len(ts)-1].ID, "peer", address)
+			return nil
+		}
+		select {
+		case <-time.After(homePause):
+		case <-ctx.Done():
+			return errors.Wrapf(err, "hand turn to %s", address)
+		}
+	}
+}
+
+// adopt keeps turns that a peer's engine answered whole.
+func (g *Gate) adopt(ctx context.Context, q adoptRequest) (adoptAnswer, error) {
+	p, ok := g.owner.Held(q.Partition)
+	if !ok {
+		return adoptAnswer{}, g.refuse(fault.Moved, "adopt", "partition %d is not held here", q.Partition)
+	}
+	ticket, err := p.Adopt(plainTurns(q.Turns), time.Now())
+	if err != nil {
+		return adoptAnswer{}, err
+	}
+	return adoptAnswer{}, p.Await(ctx, ticket)
+}
--- /dev/null
+++ b/internal/role/gate/serve.go
@@ -0,0 +1,124 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/state/layout"
+)
+
+const (
+	// retrySoon is when a caller may come back after a passing lack of capacity.
+	retrySoon = 150 * time.Millisecond
+	// noKeyRetry is when a caller may come back to a gateway that knows no configuration yet.
+	noKeyRetry = 300 * time.Millisecond
+	// answerMargin is how long before the end of a route's timeout an answer is given up, so that the caller hears in
+	// time.
+	answerMargin = 20 * time.Millisecond
+)
+
+// job is a call that was admitted.
+type job struct {
+	call      *Call
+	route     layout.Route
+	workspace layout.Workspace
+	// version is that of the layout that admitted the call.
+	version int64
+	// until is when the call must be answered: the caller's deadline or the route's timeout, whichever is earlier.
+	until time.Time
+}
+
+// Serve answers one call. It returns nil after a whole answer, and otherwise the fault: if Head was called before,
+// the answer must be broken off.
+func (g *Gate) Serve(ctx context.Context, c *Call, w Reply) *fault.Fault {
+	began := time.Now()
+	j, f := g.admit(ctx, c)
+	if f != nil {
+		g.finish(c, j, f, began)
+		return f
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.until)
+	defer cancel()
+	switch {
+	case j.route.Turns && c.Program != "":
+		f = g.serveTurn(ctx, j, w)
+	default:
+		f = g.servePlain(ctx, j, w)
+	}
+	g.finish(c, j, f, began)
+	return f
+}
+
+// admit checks route, key, size and rate.
+func (g *Gate) admit(ctx context.Context, c *Call) (*job, *fault.Fault) {
+	l := g.layout.Load()
+	if l == nil || !g.listed.Load() {
+		return nil, g.refuse(fault.Unready, "admit", "no configuration yet").WithRetryAfter(noKeyRetry)
+	}
+	r, ok := l.Match(c.Host, c.Path)
+	if !ok {
+		return nil, g.refuse(fault.UnknownRoute, "admit", "no route for host %q and path %q in version %d", c.Host, c.Path, l.Version)
+	}
+	j := &job{call: c, route: r, version: l.Version}
+	j.until = c.Arrived.Add(r.Timeout - answerMargin)
+	if !c.Deadline.IsZero() && c.Deadline.Before(j.until) {
+		j.until = c.Deadline
+	}
+	if l.HasKeys() && !r.Open {
+		if j.workspace, ok = l.Holder(c.Key); !ok {
+			return j, g.refuse(fault.Unauthenticated, "admit", "key is unknown in version %d", l.Version)
+		}
+	}
+	if c.ID == "" {
+		return j, g.refuse(fault.InvalidRequest, "admit", "the request has no id")
+	}
+	if !time.Now().Before(j.until) {
+		return j, g.refuse(fault.Overloaded, "admit", "the deadline has passed")
+	}
+	if f := g.rates.admit(ctx, j.workspace); f != nil {
+		return j, f
+	}
+	return j, nil
+}
+
+// refuse returns the fault of a request that did not run.
+func (g *Gate) refuse(c fault.Code, step, format string, args ...any) *fault.Fault {
+	return fault.New(c, step, g.settings.VM, format, args...)
+}
+
+// late returns the fault of a call whose time is over.
+func (g *Gate) late(step string, mayHaveRun bool) *fault.Fault {
+	if mayHaveRun {
+		return g.refuse(fault.UpstreamTimeout, step, "no answer within the time allowed").WithOutcome(fault.Unknown)
+	}
+	return g.refuse(fault.Overloaded, step, "not started within the time allowed").WithRetryAfter(retrySoon)
+}
+
+// service draws the service for a call. Attempts of the same request draw anew.
+func (j *job) service() string {
+	if len(j.route.Targets) == 1 {
+		return j.route.Targets[0].Service
+	}
+	return j.route.Pick(rand.Float64())
+}
+
+// finish logs and counts the outcome of a call.
+func (g *Gate) finish(c *Call, j *job, f *fault.Fault, began time.Time) {
+	took := time.Since(began)
+	route, kind, workspace, version := "", "", "", int64(0)
+	if j != nil {
+		route, kind, workspace, version = j.route.Name, j.route.Kind.String(), j.workspace.Name, j.version
+	}
+	g.observe(kind, took, f)
+	kv := []any{"request", c.ID, "route", route, "workspace", workspace, "settings", version, "ms", took.Milliseconds()}
+	if c.Program != "" {
+		kv = append(kv, "program", c.Program)
+	}
+	if f == nil {
+		g.logAnswered(kv)
+		return
+	}
+	g.logFailed(append(kv, "code", f.Code, "step", f.Step, "peer", f.Peer, "outcome", f.Outcome, "retry_after_ms", f.RetryAfterMS, "cause", f.Message))
+}
--- /dev/null
+++ b/internal/role/owner/append.go
@@ -0,0 +1,141 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/state/store"
+)
+
+const (
+	// groupBytes bounds the records of one append; the store takes two MB.
+	groupBytes = 1 << 20
+	// linger is how long an append waits for more records, so that a busy partition makes fewer calls.
+	linger = 4 * time.Millisecond
+	// appendTimeout bounds one try. Answers of a slow store take a quarter of a second.
+	appendTimeout = 600 * time.Millisecond
+	// appendPause is the time between two tries.
+	appendPause = 40 * time.Millisecond
+	// loadTimeout bounds the reading of one page.
+	loadTimeout = 2 * time.Second
+)
+
+// open fences former holders and reads the partition.
+func (p *Partition) open(ctx context.Context) error {
+	if err := p.try(ctx, nil); err != nil {
+		return errors.Wrapf(err, "fence partition %d at epoch %d", p.id, p.epoch)
+	}
+	after, records := "", 0
+	for {
+		page, err := p.newest(ctx, after)
+		if err != nil {
+			return errors.Wrapf(err, "read partition %d behind %q", p.id, after)
+		}
+		records += len(page.Records)
+		for _, r := range page.Records {
+			if err := p.ledger.Restore(r); err != nil {
+				p.note("record_skipped", "partition", p.id, "key", r.Key, "cause", err)
+			}
+		}
+		if after = page.After; after == "" {
+			break
+		}
+	}
+	p.ledger.Restored()
+	p.note("partition_opened", "partition", p.id, "epoch", p.epoch, "records", records)
+	return nil
+}
+
+func (p *Partition) newest(ctx context.Context, after string) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return p.log.Newest(ctx, p.id, after)
+}
+
+// run appends what is queued until ctx ends or the partition is lost.
+func (p *Partition) run(ctx context.Context) error {
+	for {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		time.Sleep(linger)
+		for {
+			recs, groups := p.next()
+			if groups == 0 {
+				break
+			}
+			if err := p.append(ctx, recs); err != nil {
+				if ctx.Err() == nil {
+					p.lose(err)
+				}
+				return nil
+			}
+			p.confirm(groups)
+		}
+	}
+}
+
+// next returns the records of the oldest groups that go into one append.
+func (p *Partition) next() (recs []store.Record, groups int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	for _, g := range p.queue {
+		for _, r := range g {
+			size += len(r.Key) + len(r.Value)
+		}
+		if groups > 0 && size > groupBytes {
+			break
+		}
+		recs = append(recs, g...)
+		groups++
+	}
+	return recs, groups
+}
+
+// append tries until the store has taken the records or another writer holds the partition.
+func (p *Partition) append(ctx context.Context, recs []store.Record) error {
+	p.sequence++
+	began := time.Now()
+	for warned := false; ; {
+		err := p.try(ctx, recs)
+		if err == nil {
+			if warned {
+				p.note("store_regained", "partition", p.id, "after_ms", time.Since(began).Milliseconds())
+			}
+			return nil
+		}
+		if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || ctx.Err() != nil {
+			return err
+		}
+		if !warned && time.Since(began) > detachedAfter {
+			warned = true
+			p.note("store_lost", "partition", p.id, "records", len(recs), "cause", err)
+		}
+		select {
+		case <-time.After(appendPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Partition) try(ctx context.Context, recs []store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return p.log.Append(ctx, p.id, store.Fence{Epoch: p.epoch, Sequence: p.sequence}, recs)
+}
+
+// confirm notes that the oldest groups are durable.
+func (p *Partition) confirm(groups int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue = p.queue[groups:]
+	p.confirmed += int64(groups)
+	p.pendingSince = time.Now()
+	p.announce()
+}
--- /dev/null
+++ b/internal/role/owner/owner.go
@@ -0,0 +1,367 @@
+// Package owner holds partitions of program history. The platform's store spreads the partitions over the members
+// of a group. A member that gains a partition first fences its former holder, then reads it; appends of the former
+// holder fail from then on, so no two processes ever confirm turns of the same partition.
+package owner
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/plat/group"
+	"galenaward.example/galenaward/internal/state/store"
+)
+
+const (
+	// joinEvery is the time between two heartbeats of the membership.
+	joinEvery = 300 * time.Millisecond
+	// joinTimeout bounds one heartbeat.
+	joinTimeout = 700 * time.Millisecond
+	// memberTTL is the silence after which the store gives a member's partitions to others; it covers three
+	// heartbeats and one that got no answer.
+	memberTTL = 1500 * time.Millisecond
+	// handoverPatience is how long a partition that moves away waits for its turns to end.
+	handoverPatience = 400 * time.Millisecond
+	handoverStep     = 20 * time.Millisecond
+	// openPause is the time between two tries to open a partition.
+	openPause = 100 * time.Millisecond
+	// lookEvery is the least time between two readings of the owners outside of the heartbeat.
+	lookEvery   = 100 * time.Millisecond
+	expireEvery = 2 * time.Second
+)
+
+// Backing is what an owner needs of the store.
+type Backing interface {
+	store.Log
+	store.Group
+}
+
+// Owner takes part in the group and holds partitions. It is safe for concurrent use.
+type Owner struct {
+	backing    Backing
+	partitions int
+	member     string
+	// pristine says that no earlier process has ever written to the partitions.
+	pristine bool
+	note     func(event string, kv ...any)
+	group    *group.Group
+
+	mu         sync.Mutex
+	generation int64
+	joined     bool
+	held       map[int]*Partition
+	ending     map[int]context.CancelFunc
+	// members names the holder of each partition as the store last told.
+	members map[int]string
+	looked  time.Time
+	leaving bool
+}
+
+// Option configures an owner.
+type Option func(*Owner)
+
+// WithNote sets the function that logs what the owner does.
+func WithNote(f func(event string, kv ...any)) Option { return func(o *Owner) { o.note = f } }
+
+// WithPristine says that the deployment starts for the first time.
+func WithPristine(first bool) Option { return func(o *Owner) { o.pristine = first } }
+
+// New returns an owner of no partitions. The address is where peers reach this process.
+func New(g *group.Group, b Backing, partitions int, address string, opts ...Option) *Owner {
+	o := &Owner{
+		backing: b, partitions: partitions, group: g,
+		member: address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		note:   func(string, ...any) {}, held: make(map[int]*Partition),
+		ending: make(map[int]context.CancelFunc), members: make(map[int]string),
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
+}
+
+// PartitionOf returns the partition of a program, or of any other key.
+func (o *Owner) PartitionOf(key string) int {
+	return int(xxhash.Sum64String(key) % uint64(o.partitions))
+}
+
+// Held returns the partition if this process holds it and has read it.
+func (o *Owner) Held(id int) (*Partition, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p, ok := o.held[id]
+	return p, ok
+}
+
+// AllHeld returns the partitions that this process holds.
+func (o *Owner) AllHeld() []*Partition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*Partition, 0, len(o.held))
+	for _, p := range o.held {
+		out = append(out, p)
+	}
+	return out
+}
+
+// AddressOf returns where the holder of the partition is reached.
+func (o *Owner) AddressOf(id int) (address string, self, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m, ok := o.members[id]
+	return addressOf(m), m == o.member, ok
+}
+
+// Peers returns the addresses of all other members that hold partitions.
+func (o *Owner) Peers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for _, m := range o.members {
+		if a := addressOf(m); m != o.member && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Joined reports whether the store has taken this process into the group.
+func (o *Owner) Joined() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.joined
+}
+
+func addressOf(member string) string {
+	a, _, _ := strings.Cut(member, "/")
+	return a
+}
+
+// Run keeps the membership until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	o.evictFormer(ctx)
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	o.heartbeat(ctx)
+	for {
+		select {
+		case <-tick.C:
+			o.heartbeat(ctx)
+		case now := <-expire.C:
+			for _, p := range o.AllHeld() {
+				p.expire(now)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// evictFormer ends the membership of an earlier process at this address, which is gone, so that its partitions need
+// not wait for its silence to be noticed.
+func (o *Owner) evictFormer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := o.backing.Owners(ctx)
+	if err != nil {
+		o.note("owners_unread", "cause", err)
+		return
+	}
+	done := ""
+	for _, w := range owners {
+		if addressOf(w.Member) != addressOf(o.member) || w.Member == o.member || w.Member == done {
+			continue
+		}
+		done = w.Member
+		if err := o.backing.Leave(ctx, w.Member); err != nil {
+			o.note("former_member_stays", "member", w.Member, "cause", err)
+		}
+	}
+}
+
+func (o *Owner) heartbeat(ctx context.Context) {
+	o.mu.Lock()
+	generation, leaving := o.generation, o.leaving
+	o.mu.Unlock()
+	if leaving {
+		return
+	}
+	jctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	a, err := o.backing.Join(jctx, o.member, generation, memberTTL)
+	if err != nil {
+		if ctx.Err() == nil {
+			o.note("join_failed", "generation", generation, "cause", err)
+		}
+		return
+	}
+	o.assign(ctx, a)
+	if a.Generation != generation {
+		o.note("generation", "from", generation, "to", a.Generation, "partitions", len(a.Partitions))
+		o.Look(ctx, true)
+	}
+}
+
+// assign opens the partitions that were gained and hands over those that were lost.
+func (o *Owner) assign(ctx context.Context, a store.Assignment) {
+	o.mu.Lock()
+	if o.leaving {
+		o.mu.Unlock()
+		return
+	}
+	o.joined = true
+	o.generation = max(o.generation, a.Generation)
+	var lost []*Partition
+	for id, p := range o.held {
+		if !slices.Contains(a.Partitions, id) {
+			lost = append(lost, p)
+		}
+	}
+	for id, end := range o.ending {
+		if _, held := o.held[id]; !held && !slices.Contains(a.Partitions, id) {
+			end()
+			delete(o.ending, id)
+		}
+	}
+	var gained []int
+	for _, id := range a.Partitions {
+		if _, busy := o.ending[id]; !busy {
+			gained = append(gained, id)
+		}
+	}
+	o.mu.Unlock()
+	o.handOver(ctx, lost)
+	for _, id := range gained {
+		o.gain(id, a.Generation)
+	}
+}
+
+// handOver waits a moment for the turns of partitions that move away, then gives the partitions up.
+func (o *Owner) handOver(ctx context.Context, ps []*Partition) {
+	for until := time.Now().Add(handoverPatience); len(ps) > 0 && time.Now().Before(until) && ctx.Err() == nil; {
+		open := 0
+		for _, p := range ps {
+			if !p.close() {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+		time.Sleep(handoverStep)
+	}
+	for _, p := range ps {
+		o.drop(p, errors.Wrapf(ErrMoved, "partition %d", p.id))
+	}
+}
+
+func (o *Owner) drop(p *Partition, cause error) {
+	p.lose(cause)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.held[p.id] != p {
+		return
+	}
+	delete(o.held, p.id)
+	if end, ok := o.ending[p.id]; ok {
+		end()
+		delete(o.ending, p.id)
+	}
+}
+
+// gain opens a partition in the background and appends to it until it is lost.
+func (o *Owner) gain(id int, epoch int64) {
+	ctx, end := context.WithCancel(o.group.Context())
+	o.mu.Lock()
+	o.ending[id] = end
+	o.mu.Unlock()
+	o.group.Go(func(context.Context) error {
+		defer end()
+		p := o.open(ctx, id, epoch)
+		if p == nil {
+			o.mu.Lock()
+			if ctx.Err() == nil {
+				delete(o.ending, id)
+			}
+			o.mu.Unlock()
+			return nil
+		}
+		err := p.run(ctx)
+		o.drop(p, errors.Wrapf(ErrMoved, "partition %d", id))
+		return err
+	})
+}
+
+// open returns the partition once it is read, or nil if it is held elsewhere.
+func (o *Owner) open(ctx context.Context, id int, epoch int64) *Partition {
+	for ctx.Err() == nil {
+		p := newPartition(id, epoch, o.backing, o.note)
+		err := p.open(ctx)
+		if err == nil {
+			turnCount, _ := p.ledger.Len()
+			p.complete = o.pristine && turnCount == 0
+			o.mu.Lock()
+			o.held[id] = p
+			o.mu.Unlock()
+			return p
+		}
+		o.note("partition_not_opened", "partition", id, "epoch", epoch, "cause", err)
+		if errors.Is(err, store.ErrFenced) {
+			return nil
+		}
+		select {
+		case <-time.After(openPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// Look reads the owners of all partitions from the store. Unless forced, it does nothing if they were just read.
+func (o *Owner) Look(ctx context.Context, force bool) {
+	o.mu.Lock()
+	recent := time.Since(o.looked) < lookEvery
+	if !recent || force {
+		o.looked = time.Now()
+	}
+	o.mu.Unlock()
+	if recent && !force {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := o.backing.Owners(ctx)
+	if err != nil {
+		o.note("owners_unread", "cause", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.members = make(map[int]string, len(owners))
+	for _, w := range owners {
+		o.members[w.Partition] = w.Member
+	}
+}
+
+// Leave hands all partitions over and ends the membership.
+func (o *Owner) Leave(ctx context.Context) {
+	o.mu.Lock()
+	o.leaving = true
+	o.mu.Unlock()
+	o.handOver(ctx, o.AllHeld())
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	if err := o.backing.Leave(ctx, o.member); err != nil {
+		o.note("leave_failed", "cause", err)
+	}
+	o.Look(ctx, true)
+}
--- /dev/null
+++ b/internal/sched/roster/roster.go
@@ -0,0 +1,277 @@
+// Package roster knows the upstreams of each service, as they announced themselves and as requests found them, and
+// chooses one for a request.
+package roster
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Upstream is what an upstream announces of itself.
+type Upstream struct {
+	// Instance is new at each start of the upstream, with rare exceptions; Born tells starts apart in any case.
+	Instance string
+	Born     int64
+	Address  string
+	Service  string
+	// DataCentre is where the upstream runs.
+	DataCentre string
+	// Slots is the requests that it runs at once; at least 1.
+	Slots int
+	// Draining upstreams take no new work.
+	Draining bool
+}
+
+// Load is what an upstream tells of itself with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Outcome says how an exchange with an upstream ended.
+type Outcome int
+
+const (
+	// Answered means that a whole answer arrived.
+	Answered Outcome = iota
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Rejected means that the upstream refused to run the request.
+	Rejected
+	// Broken means that the answer did not arrive whole.
+	Broken
+	// Abandoned means that this side ended the exchange.
+	Abandoned
+	// Misdirected means that another instance has the address.
+	Misdirected
+)
+
+const (
+	// unreachablePause is how long an upstream is left alone after a connection failed.
+	unreachablePause = 400 * time.Millisecond
+	// maxPause bounds the pause after failures in a row; an entry of a dead upstream is gone after a few seconds.
+	maxPause = 3 * time.Second
+	// fullPause is how long an upstream that was full is left alone.
+	fullPause = 60 * time.Millisecond
+	// brokenPause is how long an upstream is left alone after a broken answer.
+	brokenPause = 100 * time.Millisecond
+	// loadLife is how long a load report counts; upstreams report with each answer.
+	loadLife = time.Second
+	// farPenalty is the load per slot that an upstream in another data centre must be below a near one.
+	farPenalty = 0.10
+	// jitter is the load per slot within which the choice is random, so that entries do not all choose the same.
+	jitter = 0.08
+)
+
+// state is an upstream with what requests found out.
+type state struct {
+	Upstream
+	// own is the number of this process's exchanges under way.
+	own int
+	// others is the estimated number of requests of other processes there, as of heard.
+	others int
+	heard  time.Time
+	// failures counts failed exchanges in a row.
+	failures int
+	// avoid is when the upstream may be chosen again.
+	avoid time.Time
+	// missing is when the announcement vanished during an outage of the store; zero if it stands.
+	missing time.Time
+}
+
+// Table holds the upstreams. It is safe for concurrent use.
+type Table struct {
+	mu sync.Mutex
+	m  map[string]*state
+	// settled is when vanished announcements count again after an outage of the store.
+	settled time.Time
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{m: make(map[string]*state)} }
+
+// Hold keeps upstreams whose announcements vanish until the time given.
+func (t *Table) Hold(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settled = until
+}
+
+// Update takes the newest announcement of an upstream and returns the address of an earlier start that is gone.
+func (t *Table) Update(u Upstream) (gone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[u.Instance]
+	if !ok || s.Born != u.Born || s.Address != u.Address {
+		if ok {
+			gone = s.Address
+		}
+		s = &state{}
+		t.m[u.Instance] = s
+	}
+	s.Upstream = u
+	s.missing = time.Time{}
+	return gone
+}
+
+// Remove takes the end of an announcement and returns the address if the upstream is gone.
+func (t *Table) Remove(instance string, now time.Time) (gone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[instance]
+	if !ok {
+		return ""
+	}
+	if now.Before(t.settled) {
+		s.missing = now
+		return ""
+	}
+	delete(t.m, instance)
+	return s.Address
+}
+
+// Replace takes a whole list: upstreams that are not in it are removed.
+func (t *Table) Replace(list []Upstream, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.Instance] = true
+		t.Update(u)
+	}
+	for _, id := range t.instances() {
+		if !listed[id] {
+			t.Remove(id, now)
+		}
+	}
+}
+
+func (t *Table) instances() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.m))
+}
+
+// Settle removes upstreams that vanished during an outage and did not come back.
+func (t *Table) Settle(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.settled) {
+		return
+	}
+	maps.DeleteFunc(t.m, func(_ string, s *state) bool { return !s.missing.IsZero() })
+}
+
+// Want says what an upstream is chosen for.
+type Want struct {
+	Service string
+	// DataCentre is where the caller's process runs.
+	DataCentre string
+	// Warm is the instance that holds the program's cache; empty for none.
+	Warm string
+	// WarmBonus is the requests per slot that another one must be less loaded to be chosen before Warm.
+	WarmBonus float64
+	// Skip are instances that were tried before.
+	Skip []string
+}
+
+// Pick chooses an upstream and counts the exchange; Done must follow. It returns false if there is none that is
+// known to be up.
+func (t *Table) Pick(w Want, now time.Time) (Upstream, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *state
+	var bestScore float64
+	for _, s := range t.m {
+		if s.Service != w.Service || s.Draining || slices.Contains(w.Skip, s.Instance) || now.Before(s.avoid) {
+			continue
+		}
+		score := s.load(now) + jitter*rand.Float64()
+		if s.DataCentre != w.DataCentre {
+			score += farPenalty
+		}
+		if s.Instance == w.Warm {
+			score -= w.WarmBonus
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return Upstream{}, false
+	}
+	best.own++
+	return best.Upstream, true
+}
+
+// load is the requests per slot.
+func (s *state) load(now time.Time) float64 {
+	n := s.own
+	if now.Sub(s.heard) < loadLife {
+		n += s.others
+	}
+	return float64(n) / float64(max(1, s.Slots))
+}
+
+// Heard takes a load report that came with an answer.
+func (t *Table) Heard(instance string, l Load, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.m[instance]; ok {
+		s.others, s.heard = max(0, l.Running+l.Waiting-s.own), now
+	}
+}
+
+// Done ends an exchange that Pick began.
+func (t *Table) Done(instance string, o Outcome, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[instance]
+	if !ok {
+		return
+	}
+	s.own = max(0, s.own-1)
+	switch o {
+	case Answered:
+		s.failures = 0
+	case Abandoned:
+	case Unreachable:
+		s.failures++
+		s.avoid = now.Add(min(maxPause, unreachablePause<<min(s.failures-1, 4)))
+	case Rejected:
+		s.avoid = now.Add(fullPause)
+	case Broken:
+		s.failures++
+		s.avoid = now.Add(min(maxPause, brokenPause<<min(s.failures-1, 5)))
+	case Misdirected:
+		delete(t.m, instance)
+	}
+}
+
+// Up reports whether the instance is known and takes new work.
+func (t *Table) Up(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[instance]
+	return ok && !s.Draining
+}
+
+// Census returns the upstreams of a service that take work, their slots and the requests that they hold.
+func (t *Table) Census(service string, now time.Time) (up, slots int, held float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.m {
+		if s.Service != service || s.Draining {
+			continue
+		}
+		up++
+		slots += s.Slots
+		held += s.load(now) * float64(s.Slots)
+	}
+	return up, slots, held
+}
+
+// Len returns the number of upstreams.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.m)
+}
--- /dev/null
+++ b/internal/wire/events/events.go
@@ -0,0 +1,66 @@
+// Package events reads server-sent events as they pass.
+package events
+
+import "bytes"
+
+// Scanner finds the events in a byte stream that arrives in pieces. The zero value is ready for use.
+type Scanner struct {
+	// line holds the line that is not complete yet.
+	line []byte
+	// data holds the data lines of the event that is not complete yet.
+	data  []byte
+	has   bool
+	saved []byte
+	count int64
+}
+
+// Write takes the next bytes of the stream.
+func (s *Scanner) Write(b []byte) {
+	for len(b) > 0 {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			s.line = append(s.line, b...)
+			return
+		}
+		s.line = append(s.line, b[:i]...)
+		s.end(bytes.TrimSuffix(s.line, []byte("\r")))
+		s.line = s.line[:0]
+		b = b[i+1:]
+	}
+}
+
+// end takes a whole line. An empty line ends an event.
+func (s *Scanner) end(line []byte) {
+	if len(line) == 0 {
+		s.dispatch()
+		return
+	}
+	value, ok := bytes.CutPrefix(line, []byte("data:"))
+	if !ok {
+		return
+	}
+	value = bytes.TrimPrefix(value, []byte(" "))
+	if s.has {
+		s.data = append(s.data, '\n')
+	}
+	s.data = append(s.data, value...)
+	s.has = true
+}
+
+func (s *Scanner) dispatch() {
+	if !s.has {
+		return
+	}
+	s.saved = append(append(s.saved, s.data...), '\n')
+	s.count++
+	s.data, s.has = s.data[:0], false
+}
+
+// Count returns the number of whole events that had data.
+func (s *Scanner) Count() int64 { return s.count }
+
+// Data returns the data of each whole event, each followed by a line feed.
+func (s *Scanner) Data() []byte { return s.saved }
+
+// Clean reports whether the stream stands between two events.
+func (s *Scanner) Clean() bool { return !s.has && len(s.line) == 0 }
--- a/internal/wire/frame/buffer.go
+++ b/internal/wire/frame/buffer.go
@@ -28,6 +28,13 @@
 // Fail ends the stream with a fault.
 func (b *Buffer) Fail(f *fault.Fault) { b.add(Frame{Kind: Fail, Fault: f}) }
 
+// Ended reports whether the stream is whole or has failed.
+func (b *Buffer) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended()
+}
+
 // add drops frames behind the last.
 func (b *Buffer) add(f Frame) {
 	b.mu.Lock()
