Reload settings, hand partitions over quickly, expel dead homes

Change: settings are read again on SIGHUP and on change; heartbeats come every 40 ms while partitions change hands, peers are poked, a process at whose address nothing listens is expelled; turns go to the new holder for 1.8 s.

--- a/internal/cmdl/daemon/gateway.go
+++ b/internal/cmdl/daemon/gateway.go
@@ -25,12 +25,12 @@
 				return err
 			}
 			boundMemory(c)
-			return runGateway(ctx, c)
+			return runGateway(ctx, file, c)
 		},
 	}
 }
 
-func runGateway(ctx context.Context, c *config.Gateway) error {
+func runGateway(ctx context.Context, file string, c *config.Gateway) error {
 	lines := telem.NewWriter(os.Stdout)
 	logs := group.New(context.WithoutCancel(ctx))
 	logsEnd, endLogs := context.WithCancel(context.WithoutCancel(ctx))
@@ -46,7 +46,16 @@
 				return nil, err
 			}
 		}
-		return platform.Start(g, c, lg, m)
+		gw, err := platform.Start(g, c, lg, m)
+		if err != nil {
+			return nil, err
+		}
+		r := &reloader{file: file, lg: lg, cur: *c, apply: func(n *config.Gateway) {
+			boundMemory(n)
+			gw.Reload(n)
+		}}
+		g.Go(r.run)
+		return gw, nil
 	})
 	telem.Info(lg, "stop", "cause", err)
 	endLogs()
--- a/internal/plat/fault/fault.go
+++ b/internal/plat/fault/fault.go
@@ -27,6 +27,8 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 	// Holder is the instance that holds the program; set with code Moved only.
 	Holder string `json:"holder,omitempty"`
+	// Down says that nothing listens at the peer's address, so that its process is gone. It stays in this process.
+	Down bool `json:"-"`
 	// Crash is set when the upstream died while it ran the request.
 	Crash *Crash `json:"crash,omitempty"`
 }
@@ -68,6 +70,13 @@
 	return &c
 }
 
+// WithDown returns a copy that says whether nothing listens at the peer's address.
+func (f *Fault) WithDown(down bool) *Fault {
+	c := *f
+	c.Down = down
+	return &c
+}
+
 // WithCrash returns a copy that tells of an upstream's death.
 func (f *Fault) WithCrash(fingerprint uint64, event string) *Fault {
 	c := *f
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -23,8 +23,9 @@
 	// warmBonus is the requests per slot by which another engine must be less loaded to run a turn whose cache stands
 	// elsewhere.
 	warmBonus = 0.35
-	// adoptTimeout bounds the handing of a turn to the new holder of its partition.
-	adoptTimeout = 500 * time.Millisecond
+	// adoptTimeout bounds the handing of a turn to the new holder of its partition. A caller leaves a stream that is
+	// silent for two seconds.
+	adoptTimeout = 1800 * time.Millisecond
 	// chainTimeout bounds the search for a chain in other partitions.
 	chainTimeout = 500 * time.Millisecond
 )
@@ -189,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	for {
-		g.owner.Look(ctx, false)
+		g.owner.Look(ctx)
 		address, self, ok := g.owner.AddressOf(partition)
 		q := adoptRequest{Partition: partition, Turns: heldTurns(ts)}
 		var err error
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/sched/rate"
@@ -25,6 +26,7 @@
 	adoptPath  = "/v1/adopt"
 	chainPath  = "/v1/chain"
 	storePath  = "/v1/store"
+	pokePath   = "/v1/poke"
 )
 
 const (
@@ -159,6 +161,22 @@
 	return out
 }
 
+// pokePeers tells the peers that the group changes.
+func (g *Gate) pokePeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	var eg errgroup.Group
+	for _, address := range g.owner.Peers() {
+		eg.Go(func() error {
+			_, err := ask[struct{}](ctx, g.peers, address, pokePath, struct{}{})
+			return err
+		})
+	}
+	if err := eg.Wait(); err != nil {
+		g.note("peer_not_poked", "cause", err) // Its next heartbeat shows the change as well.
+	}
+}
+
 // peerHandler serves the other gateways. Store calls of peers go straight to the store.
 func (g *Gate) peerHandler(direct store.Store) http.Handler {
 	mux := http.NewServeMux()
@@ -168,6 +186,10 @@
 	mux.Handle("POST "+borrowPath, answer(g, g.lend))
 	mux.Handle("POST "+chainPath, answer(g, g.findChain))
 	mux.Handle("POST "+adoptPath, answer(g, g.adopt))
+	mux.Handle("POST "+pokePath, answer(g, func(context.Context, struct{}) (struct{}, error) {
+		g.owner.Poke()
+		return struct{}{}, nil
+	}))
 	mux.Handle("POST "+storePath, answer(g, func(ctx context.Context, q storeRequest) (storeAnswer, error) {
 		return runStore(ctx, direct, q), nil
 	}))
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -28,6 +28,8 @@
 	// reservePart is the part of a rate that all gateways together may use without a keeper. It is below the overage
 	// that the promise of rates allows.
 	reservePart = 0.08
+	// warnEvery is the least time between two log lines about missing loans of one workspace.
+	warnEvery = time.Second
 )
 
 // rates keeps every workspace's rate over all gateways. One partition's holder is the keeper of a workspace's bucket
@@ -53,6 +55,8 @@
 	kept   *owner.Partition
 	// refused is when the keeper last had nothing to lend, and answered when it last answered.
 	refused, answered time.Time
+	// warned is when a missing loan was last logged.
+	warned time.Time
 }
 
 func newRates(g *Gate) *rates { return &rates{gate: g, spaces: make(map[string]*space)} }
@@ -168,7 +172,7 @@
 	part := r.keeperPartition(w.Name)
 	address, self, known := r.gate.owner.AddressOf(part)
 	if !known {
-		r.gate.owner.Look(ctx, false)
+		r.gate.owner.Look(ctx)
 		return
 	}
 	asked := time.Now()
@@ -186,8 +190,8 @@
 		loan, err = ask[rate.Loan](ctx, r.gate.peers, address, borrowPath, q)
 	}
 	if err != nil {
-		r.gate.note("no_loan", "workspace", w.Name, "keeper", address, "cause", err)
-		r.gate.owner.Look(ctx, false)
+		r.noLoan(s, w.Name, address, err)
+		r.gate.owner.Look(ctx)
 		return
 	}
 	r.mu.Lock()
@@ -200,6 +204,20 @@
 	s.wallet = s.wallet.WithLoan(loan, int64(part), asked)
 }
 
+// noLoan counts a loan that could not be had, and logs the first of a series.
+func (r *rates) noLoan(s *space, workspace, keeper string, err error) {
+	r.gate.metrics.Add("rate_no_loan", 1)
+	r.mu.Lock()
+	quiet := time.Since(s.warned) < warnEvery
+	if !quiet {
+		s.warned = time.Now()
+	}
+	r.mu.Unlock()
+	if !quiet {
+		r.gate.note("no_loan", "workspace", workspace, "keeper", keeper, "cause", err)
+	}
+}
+
 func (r *rates) keeperPartition(workspace string) int {
 	return r.gate.owner.PartitionOf("rate/" + workspace)
 }
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -29,6 +29,7 @@
 	g.note("stopping")
 	began := time.Now()
 	g.owner.Leave(ctx)
+	g.pokePeers(ctx)
 	select {
 	case <-time.After(unreadyTime - time.Since(began)):
 	case <-ctx.Done():
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -78,7 +78,7 @@
 		case <-time.After(homePause):
 		case <-ctx.Done():
 		}
-		g.owner.Look(ctx, false)
+		g.owner.Look(ctx)
 	}
 }
 
@@ -149,6 +149,9 @@
 	if failed != nil {
 		return failed
 	}
+	if f.Down {
+		g.expelAside(address)
+	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return g.late("home", f.Outcome != fault.NotRun)
 	}
@@ -169,6 +172,15 @@
 	})
 }
 
+// expelAside hurries the takeover of a dead process's partitions.
+func (g *Gate) expelAside(address string) {
+	g.group.Go(func(ctx context.Context) error {
+		g.owner.Expel(ctx, address)
+		g.pokePeers(ctx)
+		return nil
+	})
+}
+
 // orphanTime is how long a turn goes on at its home without a reader. A gateway that lost its connection is back
 // before.
 const orphanTime = 350 * time.Millisecond
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"galenaward.example/galenaward/internal/plat/group"
 	"galenaward.example/galenaward/internal/state/store"
@@ -26,14 +27,22 @@
 	// memberTTL is the silence after which the store gives a member's partitions to others; it covers three
 	// heartbeats and one that got no answer.
 	memberTTL = 1500 * time.Millisecond
-	// handoverPatience is how long a partition that moves away waits for its turns to end.
-	handoverPatience = 400 * time.Millisecond
-	handoverStep     = 20 * time.Millisecond
+	// settleEvery is the time between two heartbeats while partitions change hands. A heartbeat counts as a tenth of a
+	// call.
+	settleEvery = 40 * time.Millisecond
+	// settleRounds is how many quick heartbeats follow a change.
+	settleRounds = 8
+	// handoverPatience is how long a partition that moves away waits for its appends to be confirmed. Turns under way
+	// are handed to the new holder when they end.
+	handoverPatience = 60 * time.Millisecond
+	handoverStep     = 5 * time.Millisecond
 	// openPause is the time between two tries to open a partition.
 	openPause = 100 * time.Millisecond
 	// lookEvery is the least time between two readings of the owners outside of the heartbeat.
 	lookEvery   = 100 * time.Millisecond
 	expireEvery = 2 * time.Second
+	// expelEvery is the least time between two tries to end the membership of the same process.
+	expelEvery = time.Second
 )
 
 // Backing is what an owner needs of the store.
@@ -61,6 +70,11 @@
 	members map[int]string
 	looked  time.Time
 	leaving bool
+	// expelled is when a member's end was last told to the store.
+	expelled map[string]time.Time
+
+	looking singleflight.Group
+	poked   chan struct{}
 }
 
 // Option configures an owner.
@@ -79,6 +93,7 @@
 		member: address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		note:   func(string, ...any) {}, held: make(map[int]*Partition),
 		ending: make(map[int]context.CancelFunc), members: make(map[int]string),
+		expelled: make(map[string]time.Time), poked: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -147,15 +162,28 @@
 // Run keeps the membership until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	o.evictFormer(ctx)
-	tick := time.NewTicker(joinEvery)
-	defer tick.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
 	expire := time.NewTicker(expireEvery)
 	defer expire.Stop()
-	o.heartbeat(ctx)
+	rounds := settleRounds
+	beat := func() {
+		if o.heartbeat(ctx) {
+			rounds = settleRounds
+		}
+		pause := joinEvery
+		if rounds > 0 {
+			rounds--
+			pause = settleEvery
+		}
+		next.Reset(pause)
+	}
 	for {
 		select {
-		case <-tick.C:
-			o.heartbeat(ctx)
+		case <-next.C:
+			beat()
+		case <-o.poked:
+			beat()
 		case now := <-expire.C:
 			for _, p := range o.AllHeld() {
 				p.expire(now)
@@ -188,12 +216,21 @@
 	}
 }
 
-func (o *Owner) heartbeat(ctx context.Context) {
+// Poke makes the next heartbeat come at once, because a peer saw that the group changes.
+func (o *Owner) Poke() {
+	select {
+	case o.poked <- struct{}{}:
+	default:
+	}
+}
+
+// heartbeat keeps the membership and reports whether the group changed.
+func (o *Owner) heartbeat(ctx context.Context) (changed bool) {
 	o.mu.Lock()
 	generation, leaving := o.generation, o.leaving
 	o.mu.Unlock()
 	if leaving {
-		return
+		return false
 	}
 	jctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -202,13 +239,15 @@
 		if ctx.Err() == nil {
 			o.note("join_failed", "generation", generation, "cause", err)
 		}
-		return
+		return false
 	}
 	o.assign(ctx, a)
-	if a.Generation != generation {
-		o.note("generation", "from", generation, "to", a.Generation, "partitions", len(a.Partitions))
-		o.Look(ctx, true)
+	if a.Generation == generation {
+		return false
 	}
+	o.note("generation", "from", generation, "to", a.Generation, "partitions", len(a.Partitions))
+	o.look(ctx)
+	return true
 }
 
 // assign opens the partitions that were gained and hands over those that were lost.
@@ -326,32 +365,66 @@
 	return nil
 }
 
-// Look reads the owners of all partitions from the store. Unless forced, it does nothing if they were just read.
-func (o *Owner) Look(ctx context.Context, force bool) {
+// Look reads the owners of all partitions from the store unless they were just read. Callers that look at the same
+// time share one reading.
+func (o *Owner) Look(ctx context.Context) {
 	o.mu.Lock()
 	recent := time.Since(o.looked) < lookEvery
-	if !recent || force {
-		o.looked = time.Now()
-	}
 	o.mu.Unlock()
-	if recent && !force {
+	if recent {
 		return
 	}
+	done := o.looking.DoChan("", func() (any, error) {
+		o.look(o.group.Context())
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (o *Owner) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	owners, err := o.backing.Owners(ctx)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.looked = time.Now()
 	if err != nil {
 		o.note("owners_unread", "cause", err)
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.members = make(map[int]string, len(owners))
 	for _, w := range owners {
 		o.members[w.Partition] = w.Member
 	}
 }
 
+// Expel ends the membership of the process at the address, at which nothing listens any more. Its partitions move at
+// once; should it still live, it is fenced and joins again.
+func (o *Owner) Expel(ctx context.Context, address string) {
+	o.mu.Lock()
+	member := ""
+	for _, m := range o.members {
+		if addressOf(m) == address && m != o.member && time.Since(o.expelled[m]) > expelEvery {
+			member = m
+		}
+	}
+	if member != "" {
+		o.expelled[member] = time.Now()
+	}
+	o.mu.Unlock()
+	if member == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := o.backing.Leave(ctx, member)
+	o.note("member_expelled", "member", member, "cause", err)
+	o.Poke()
+}
+
 // Leave hands all partitions over and ends the membership.
 func (o *Owner) Leave(ctx context.Context) {
 	o.mu.Lock()
@@ -363,5 +436,5 @@
 	if err := o.backing.Leave(ctx, o.member); err != nil {
 		o.note("leave_failed", "cause", err)
 	}
-	o.Look(ctx, true)
+	o.look(ctx)
 }
--- a/internal/wire/frame/fetch.go
+++ b/internal/wire/frame/fetch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,15 +57,17 @@
 	pos := 0
 	sent, last, err := f.once(ctx, http.MethodPost, q.BaseURL+q.Path, q.Instance, body, &pos, emit)
 	if !sent {
-		return fault.New(fault.PeerUnreachable, "connect", q.Peer, "%s", err)
+		return fault.New(fault.PeerUnreachable, "connect", q.Peer, "%s", err).WithDown(errors.Is(err, syscall.ECONNREFUSED))
 	}
-	for try := 0; !last && err != nil && ctx.Err() == nil && try < maxResumes && !q.gone(); try++ {
+	down := false
+	for try := 0; !last && !down && err != nil && ctx.Err() == nil && try < maxResumes && !q.gone(); try++ {
 		if f.Resumed != nil {
 			f.Resumed()
 		}
 		before := pos
 		url := fmt.Sprintf("%s%s/%s?from=%d", q.BaseURL, q.Path, q.ID, pos)
 		_, last, err = f.once(ctx, http.MethodGet, url, "", nil, &pos, emit)
+		down = errors.Is(err, syscall.ECONNREFUSED)
 		if pos > before {
 			try = 0
 		}
@@ -76,7 +79,7 @@
 	if ctx.Err() != nil {
 		return fault.New(fault.UpstreamTimeout, "relay", q.Peer, "the answer ended after %d frames: %v", pos, context.Cause(ctx)).WithOutcome(fault.Unknown)
 	}
-	return fault.New(fault.PeerUnreachable, "relay", q.Peer, "answer cut after %d frames: %v", pos, err).WithOutcome(fault.Unknown)
+	return fault.New(fault.PeerUnreachable, "relay", q.Peer, "answer cut after %d frames: %v", pos, err).WithOutcome(fault.Unknown).WithDown(down)
 }
 
 func (q Request) gone() bool { return q.Gone != nil && q.Gone() }
