Tell no end of a turn before it is durable

Ruled out: holding turns at two peers (the final fault takes all processes at once). Change: a detached partition refuses turns at once with a time to come back; an unknown turn is 404 only after the store confirmed an append of each partition's holder; tries of appends are given up by the usual time of answers. Conclusion: what was told is in the log.

--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -82,7 +82,7 @@
 	gt.peers = newPeerClient(s.ListenPeers)
 	gt.store = newDetour(d.Store, gt.peers, gt.peerAddresses, gt.note)
 	gt.owner = owner.New(g, gt.store, int(s.Partitions), s.ListenPeers,
-		owner.WithNote(gt.note), owner.WithPristine(s.FirstStart))
+		owner.WithNote(gt.note))
 	gt.rates = newRates(gt)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// detachedRetry is when a caller may come back while the store takes no appends.
-	detachedRetry = time.Second
+	// detachedRetry is when a caller may come back while the store takes no appends. Callers wait for up to a third of
+	// the time that they have left, and outages last for seconds.
+	detachedRetry = 1200 * time.Millisecond
 	// warmBonus is the requests per slot by which another engine must be less loaded to run a turn whose cache stands
 	// elsewhere.
 	warmBonus = 0.35
@@ -99,7 +100,7 @@
 	case errors.Is(err, turns.ErrBudget):
 		return g.refuse(fault.BudgetExhausted, "budget", "%v", err)
 	case errors.Is(err, owner.ErrDetached):
-		return g.refuse(fault.LogUnavailable, "budget", "the budget cannot be recorded: %v", err).WithRetryAfter(detachedRetry)
+		return g.refuse(fault.LogUnavailable, "home", "%v", err).WithRetryAfter(detachedRetry)
 	case errors.Is(err, owner.ErrMoved):
 		return g.refuse(fault.Moved, "home", "%v", err)
 	}
@@ -110,7 +111,7 @@
 func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, v Verdict, ans *httpc.Answer) *fault.Fault {
 	defer ans.Close()
 	g := t.gate
-	if err := t.part.Await(ctx, t.begun.Ticket); err != nil && !errors.Is(err, owner.ErrDetached) {
+	if err := t.part.Await(ctx, t.begun.Ticket); err != nil {
 		t.part.End(t.begun, 0)
 		g.outcome(ctx, a, u, roster.Abandoned, err)
 		return g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
@@ -175,10 +176,6 @@
 	if errors.Is(err, owner.ErrMoved) {
 		err = t.gate.handTurn(ctx, t.Partition, append(t.begun.Chain, done))
 	}
-	if errors.Is(err, owner.ErrDetached) {
-		t.gate.note("turn_not_durable", "request", t.Call.ID, "partition", t.Partition, "cause", err)
-		return nil
-	}
 	if err != nil {
 		return t.gate.refuse(fault.UpstreamFailed, "history", "the turn could not be kept: %v", err).WithOutcome(fault.Ran)
 	}
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -244,7 +244,7 @@
 	if s.kept != p {
 		// A successor cannot know what its predecessor lent, so it starts with nothing.
 		level := 0.0
-		if p.Complete() {
+		if p.Fresh() && r.gate.settings.FirstStart {
 			level = quota.Burst
 		}
 		s.kept, s.bucket = p, rate.NewBucket(level, now)
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -13,7 +13,7 @@
 	// retrySoon is when a caller may come back after a passing lack of capacity.
 	retrySoon = 150 * time.Millisecond
 	// noKeyRetry is when a caller may come back to a gateway that knows no configuration yet.
-	noKeyRetry = 300 * time.Millisecond
+	noKeyRetry = 600 * time.Millisecond
 	// answerMargin is how long before the end of a route's timeout an answer is given up, so that the caller hears in
 	// time.
 	answerMargin = 20 * time.Millisecond
--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -14,17 +14,17 @@
 	groupBytes = 1 << 20
 	// linger is how long an append waits for more records, so that a busy partition makes fewer calls.
 	linger = 4 * time.Millisecond
-	// appendTimeout bounds one try. Answers of a slow store take a quarter of a second.
-	appendTimeout = 600 * time.Millisecond
 	// appendPause is the time between two tries.
-	appendPause = 40 * time.Millisecond
+	appendPause = 20 * time.Millisecond
+	// fenceTries is the number of tries to fence former holders before the partition is opened anew.
+	fenceTries = 4
 	// loadTimeout bounds the reading of one page.
 	loadTimeout = 2 * time.Second
 )
 
 // open fences former holders and reads the partition.
 func (p *Partition) open(ctx context.Context) error {
-	if err := p.try(ctx, nil); err != nil {
+	if err := p.fence(ctx); err != nil {
 		return errors.Wrapf(err, "fence partition %d at epoch %d", p.id, p.epoch)
 	}
 	after, records := "", 0
@@ -44,10 +44,21 @@
 		}
 	}
 	p.ledger.Restored()
+	p.fresh = records == 0
 	p.note("partition_opened", "partition", p.id, "epoch", p.epoch, "records", records)
 	return nil
 }
 
+func (p *Partition) fence(ctx context.Context) error {
+	var err error
+	for n := range fenceTries {
+		if err = p.try(ctx, nil, n); err == nil || errors.Is(err, store.ErrFenced) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
 func (p *Partition) newest(ctx context.Context, after string) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -101,8 +112,9 @@
 func (p *Partition) append(ctx context.Context, recs []store.Record) error {
 	p.sequence++
 	began := time.Now()
-	for warned := false; ; {
-		err := p.try(ctx, recs)
+	warned := false
+	for n := 0; ; n++ {
+		err := p.try(ctx, recs, n)
 		if err == nil {
 			if warned {
 				p.note("store_regained", "partition", p.id, "after_ms", time.Since(began).Milliseconds())
@@ -124,10 +136,16 @@
 	}
 }
 
-func (p *Partition) try(ctx context.Context, recs []store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+// try makes one try of an append. Its number sets how long it may take.
+func (p *Partition) try(ctx context.Context, recs []store.Record, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, p.pace.timeout(n))
 	defer cancel()
-	return p.log.Append(ctx, p.id, store.Fence{Epoch: p.epoch, Sequence: p.sequence}, recs)
+	began := time.Now()
+	err := p.log.Append(ctx, p.id, store.Fence{Epoch: p.epoch, Sequence: p.sequence}, recs)
+	if err == nil {
+		p.pace.answered(time.Since(began))
+	}
+	return err
 }
 
 // confirm notes that the oldest groups are durable.
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -22,8 +22,10 @@
 const (
 	// joinEvery is the time between two heartbeats of the membership.
 	joinEvery = 300 * time.Millisecond
-	// joinTimeout bounds one heartbeat.
-	joinTimeout = 700 * time.Millisecond
+	// joinTimeout bounds one heartbeat while the store is quick, and other calls.
+	joinTimeout = 350 * time.Millisecond
+	// missedWarn is the number of heartbeats in a row without an answer that is logged.
+	missedWarn = 3
 	// memberTTL is the silence after which the store gives a member's partitions to others; it covers three
 	// heartbeats and one that got no answer.
 	memberTTL = 1500 * time.Millisecond
@@ -56,8 +58,6 @@
 	backing    Backing
 	partitions int
 	member     string
-	// pristine says that no earlier process has ever written to the partitions.
-	pristine bool
 	note     func(event string, kv ...any)
 	group    *group.Group
 
@@ -75,6 +75,9 @@
 
 	looking singleflight.Group
 	poked   chan struct{}
+	pace    pace
+	// missed counts heartbeats in a row that got no answer; only the loop of Run uses it.
+	missed int
 }
 
 // Option configures an owner.
@@ -83,9 +86,6 @@
 // WithNote sets the function that logs what the owner does.
 func WithNote(f func(event string, kv ...any)) Option { return func(o *Owner) { o.note = f } }
 
-// WithPristine says that the deployment starts for the first time.
-func WithPristine(first bool) Option { return func(o *Owner) { o.pristine = first } }
-
 // New returns an owner of no partitions. The address is where peers reach this process.
 func New(g *group.Group, b Backing, partitions int, address string, opts ...Option) *Owner {
 	o := &Owner{
@@ -232,15 +232,19 @@
 	if leaving {
 		return false
 	}
-	jctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	jctx, cancel := context.WithTimeout(ctx, max(joinTimeout, o.pace.timeout(o.missed)))
 	defer cancel()
 	a, err := o.backing.Join(jctx, o.member, generation, memberTTL)
 	if err != nil {
-		if ctx.Err() == nil {
-			o.note("join_failed", "generation", generation, "cause", err)
+		if o.missed++; o.missed == missedWarn && ctx.Err() == nil {
+			o.note("membership_unconfirmed", "generation", generation, "missed", o.missed, "cause", err)
 		}
 		return false
 	}
+	if o.missed >= missedWarn {
+		o.note("membership_confirmed", "generation", a.Generation, "missed", o.missed)
+	}
+	o.missed = 0
 	o.assign(ctx, a)
 	if a.Generation == generation {
 		return false
@@ -343,11 +347,9 @@
 // open returns the partition once it is read, or nil if it is held elsewhere.
 func (o *Owner) open(ctx context.Context, id int, epoch int64) *Partition {
 	for ctx.Err() == nil {
-		p := newPartition(id, epoch, o.backing, o.note)
+		p := newPartition(id, epoch, o.backing, &o.pace, o.note)
 		err := p.open(ctx)
 		if err == nil {
-			turnCount, _ := p.ledger.Len()
-			p.complete = o.pristine && turnCount == 0
 			o.mu.Lock()
 			o.held[id] = p
 			o.mu.Unlock()
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -14,13 +14,13 @@
 var (
 	// ErrMoved means that another process holds the partition, or will within moments.
 	ErrMoved = errors.New("the partition is held elsewhere")
-	// ErrDetached means that the store has not confirmed an append in time.
+	// ErrDetached means that the store confirms no appends, so that no turn could be kept.
 	ErrDetached = errors.New("the store does not confirm appends")
 )
 
 // detachedAfter is how long an append may go unconfirmed before the partition counts as detached from the store,
 // whose answers take a few milliseconds on a good day and a quarter of a second on a slow one.
-const detachedAfter = 500 * time.Millisecond
+const detachedAfter = 700 * time.Millisecond
 
 // Partition is a partition that this process holds. Its appends go out in groups, one at a time, in order. It is
 // safe for concurrent use.
@@ -29,6 +29,7 @@
 	epoch int64
 	log   store.Log
 	note  func(event string, kv ...any)
+	pace  *pace
 
 	mu     sync.Mutex
 	ledger *turns.Ledger
@@ -46,16 +47,16 @@
 	// closing refuses turns that begin, before the partition is handed over.
 	closing bool
 	active  int
-	// complete says that every turn that was ever answered whole in this partition is in the ledger.
-	complete bool
+	// fresh says that the partition held nothing when it was opened.
+	fresh bool
 	// programTickets holds the group that must be confirmed before a program's tokens may be handed out.
 	programTickets map[turns.Ref]int64
 	sequence       int64
 }
 
-func newPartition(id int, epoch int64, log store.Log, note func(string, ...any)) *Partition {
+func newPartition(id int, epoch int64, log store.Log, pc *pace, note func(string, ...any)) *Partition {
 	return &Partition{
-		id: id, epoch: epoch, log: log, note: note, ledger: turns.New(),
+		id: id, epoch: epoch, log: log, pace: pc, note: note, ledger: turns.New(),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), programTickets: make(map[turns.Ref]int64),
 	}
 }
@@ -79,20 +80,18 @@
 	if p.lost != nil || p.closing {
 		return Begun{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
+	if p.detached(now) {
+		return Begun{}, errors.Wrapf(ErrDetached, "partition %d for %s", p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
+	}
 	chain, err := p.ledger.Chain(previous)
 	if err != nil {
 		return Begun{}, err
 	}
-	detached := p.detached(now)
-	rec, err := p.ledger.Reserve(c, now, detached)
+	rec, err := p.ledger.Reserve(c, now)
 	if err != nil {
 		return Begun{}, err
 	}
 	if rec != nil {
-		if detached {
-			p.ledger.Cancel(c, 0)
-			return Begun{}, errors.Wrapf(ErrDetached, "partition %d", p.id)
-		}
 		p.programTickets[c.Program] = p.push([]store.Record{*rec}, now)
 	}
 	p.active++
@@ -134,24 +133,35 @@
 	return p.push(recs, now), nil
 }
 
-// Chain returns a chain, and whether an unknown turn is certain not to exist in this partition.
-func (p *Partition) Chain(ref turns.Ref) (chain []turns.Turn, complete bool, err error) {
+// Chain returns the chain that ends with the turn.
+func (p *Partition) Chain(ref turns.Ref) ([]turns.Turn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lost != nil {
-		return nil, false, errors.Wrapf(ErrMoved, "partition %d", p.id)
+		return nil, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	chain, err = p.ledger.Chain(ref)
-	return chain, p.complete, err
+	return p.ledger.Chain(ref)
 }
 
-// Complete reports whether the ledger holds every turn that was answered whole in this partition.
-func (p *Partition) Complete() bool {
+// Certain returns the chain like Chain. If the turn is unknown, it first lets the store confirm that no other process
+// holds the partition: no end of a turn is told before its record is, so the turn then does not exist.
+func (p *Partition) Certain(ctx context.Context, ref turns.Ref) ([]turns.Turn, error) {
+	chain, err := p.Chain(ref)
+	if !errors.Is(err, turns.ErrUnknown) {
+		return chain, err
+	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.complete && p.lost == nil
+	ticket := p.push([]store.Record{turns.Marker()}, time.Now())
+	p.mu.Unlock()
+	if err := p.Await(ctx, ticket); err != nil {
+		return nil, err
+	}
+	return p.Chain(ref)
 }
 
+// Fresh reports whether the partition held nothing when it was opened.
+func (p *Partition) Fresh() bool { return p.fresh }
+
 // push queues a group of records and returns its ticket.
 func (p *Partition) push(recs []store.Record, now time.Time) int64 {
 	if p.asked == p.confirmed {
@@ -170,28 +180,21 @@
 	return p.asked > p.confirmed && now.Sub(p.pendingSince) > detachedAfter
 }
 
-// Await returns nil when the group with the ticket is confirmed. It returns ErrDetached when the store has not
-// confirmed anything for a while, and ErrMoved when the partition is lost.
+// Await returns nil when the group with the ticket is confirmed, and ErrMoved when the partition is lost before.
 func (p *Partition) Await(ctx context.Context, ticket int64) error {
 	for {
 		p.mu.Lock()
-		done, lost, changed, detached := p.confirmed >= ticket, p.lost, p.changed, p.detached(time.Now())
+		done, lost, changed := p.confirmed >= ticket, p.lost, p.changed
 		p.mu.Unlock()
 		switch {
 		case done:
 			return nil
 		case lost != nil:
 			return errors.Wrapf(ErrMoved, "partition %d", p.id)
-		case detached:
-			return errors.Wrapf(ErrDetached, "partition %d", p.id)
 		}
-		timer := time.NewTimer(detachedAfter / 4)
 		select {
 		case <-changed:
-			timer.Stop()
-		case <-timer.C:
 		case <-ctx.Done():
-			timer.Stop()
 			return ctx.Err()
 		}
 	}
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -73,9 +73,8 @@
 }
 
 // Reserve sets tokens aside for a turn. It returns the record that must be durable before the first token is handed
-// out, or none if an earlier record covers the turn already. Detached allows one turn above what the records
-// cover while none can be written.
-func (l *Ledger) Reserve(c Claim, now time.Time, detached bool) (*store.Record, error) {
+// out, or none if an earlier record covers the turn already.
+func (l *Ledger) Reserve(c Claim, now time.Time) (*store.Record, error) {
 	p := l.programs[c.Program]
 	used := p.Spent + p.Reserved + c.Most
 	if c.Budget > 0 && used > c.Budget {
@@ -84,7 +83,7 @@
 	}
 	p.Reserved += c.Most
 	p.Until = max(p.Until, now.Add(c.Keep).UnixMilli())
-	if used <= p.Ceiling || (detached && used <= p.Ceiling+c.Most) {
+	if used <= p.Ceiling {
 		l.programs[c.Program] = p
 		return nil, nil
 	}
@@ -173,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	if len(r.Value) == 0 {
+	if len(r.Value) == 0 || kind == markerKind {
 		return nil
 	}
 	if kind == programKind {
--- a/internal/state/turns/record.go
+++ b/internal/state/turns/record.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 const (
 	turnKind    = "t"
 	programKind = "p"
+	markerKind  = "m"
 )
 
 var errRecord = errors.New("record is damaged")
@@ -28,7 +30,7 @@
 
 func parseKey(k string) (kind string, r Ref, err error) {
 	parts := strings.SplitN(k, "/", 3)
-	if len(parts) != 3 || (parts[0] != turnKind && parts[0] != programKind) {
+	if len(parts) != 3 || !slices.Contains([]string{turnKind, programKind, markerKind}, parts[0]) {
 		return "", Ref{}, errors.Wrapf(errRecord, "key %q", k)
 	}
 	workspace, err := url.PathUnescape(parts[1])
@@ -38,6 +40,9 @@
 	return parts[0], Ref{workspace, parts[2]}, nil
 }
 
+// Marker returns a record that changes nothing; it shows who may append.
+func Marker() store.Record { return store.Record{Key: markerKind + "//", Value: []byte{1}} }
+
 func programRecord(r Ref, p Program) store.Record {
 	v, err := json.Marshal(account{Ceiling: p.Ceiling, Until: p.Until})
 	if err != nil {
