Refuse programs that begin while engines are full or a rate holds no more of them

Cause: beyond capacity all programs shared the loss, and calls in the middle of programs were refused. Change: sched/admit decides by the load of the engines, rank and time left; the keeper of a rate plans programs by what they were seen to need and lets them begin freely while a part of the burst is left; warm engines are found by the turn continued.

--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -16,6 +16,7 @@
 	"galenaward.example/galenaward/internal/plat/serve"
 	"galenaward.example/galenaward/internal/plat/telem"
 	"galenaward.example/galenaward/internal/role/owner"
+	"galenaward.example/galenaward/internal/sched/admit"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
 	"galenaward.example/galenaward/internal/state/store"
@@ -52,6 +53,8 @@
 	streams *frame.Set
 	readers readers
 	warm    warmth
+	asked   asked
+	policy  admit.Policy
 	ready   serve.Ready
 	stop    stopping
 	// listed is set once the upstreams have been read from the store.
@@ -77,6 +80,7 @@
 	gt := &Gate{
 		settings: s, codec: d.Codec, read: d.Announcements, lg: d.Log, metrics: d.Metrics, group: g,
 		roster: roster.New(), streams: frame.NewSet(), warm: newWarmth(),
+		asked: newAsked(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -11,6 +11,7 @@
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/role/owner"
+	"galenaward.example/galenaward/internal/sched/admit"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/turns"
 	"galenaward.example/galenaward/internal/wire/events"
@@ -55,7 +56,7 @@
 	deadline, _ := ctx.Deadline()
 	a := q.attempts(deadline)
 	prompt := turns.Prompt(t.begun.Chain, q.Call.Body)
-	warm := g.warm.of(t.begun.Claim.Program)
+	warm := g.warm.of(turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous})
 	for a.more() && ctx.Err() == nil {
 		u, ok := g.pick(a, warm, warmBonus)
 		if !ok {
@@ -86,6 +87,9 @@
 func (t *turnRun) begin(ctx context.Context) *fault.Fault {
 	g, q := t.gate, t.turnRequest
 	previous := turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous}
+	if f := t.admit(time.Now()); f != nil {
+		return f
+	}
 	var err error
 	t.begun, err = t.part.Begin(q.claim(), previous, time.Now())
 	if errors.Is(err, turns.ErrUnknown) {
@@ -107,6 +111,26 @@
 	return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(retrySoon)
 }
 
+// admit refuses a program that would begin while the engines are full.
+func (t *turnRun) admit(now time.Time) *fault.Fault {
+	g, q := t.gate, t.turnRequest
+	program := turns.Ref{Workspace: q.Workspace, ID: q.Call.Program}
+	if q.Call.Turn.Previous != "" || t.part.Knows(program) {
+		return nil
+	}
+	slots, held := g.roster.Census(q.Service, now)
+	load := admit.Gauge{Slots: slots, Held: held}
+	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
+	a := admit.Ask{Rank: q.Rank, Left: left, Whole: g.asked.whole(program, left)}
+	ok, retryAfter := g.policy.Begin(load, a)
+	if ok {
+		return nil
+	}
+	g.metrics.Add("programs_refused", 1)
+	return g.refuse(fault.Overloaded, "begin", "engines of %q hold %.1f requests in %d slots, limit %.2f at rank %d, %v of %v left",
+		q.Service, held, slots, g.policy.Limit(a), q.Rank, left, a.Whole).WithRetryAfter(retryAfter)
+}
+
 // stream passes an engine's answer on. Its end is told once the turn is durable.
 func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, v Verdict, ans *httpc.Answer) *fault.Fault {
 	defer ans.Close()
@@ -139,7 +163,7 @@
 		}
 	}
 	g.ended(u, v)
-	g.warm.set(t.begun.Claim.Program, u.Instance)
+	g.warm.set(turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, u.Instance)
 	return t.finish(ctx, ans.Status)
 }
 
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,13 +22,27 @@
 	// borrowTimeout bounds one request for a loan.
 	borrowTimeout = 250 * time.Millisecond
 	// borrowPatience bounds the wait of a call for loans. It covers the time in which a partition changes hands.
-	borrowPatience = 600 * time.Millisecond
+	borrowPatience = 300 * time.Millisecond
 	borrowPause    = 30 * time.Millisecond
 	// loanFloor is the least that is borrowed at a time.
 	loanFloor = 2
+	// planRoom is how much more than a workspace's rate the programs that begin may need together. Not every program
+	// takes what it is expected to.
+	planRoom = 1.15
+	// firstExpected is the number of requests that a program is taken to need before any was seen, and counts as much
+	// as firstPrograms programs.
+	firstExpected, firstPrograms = 10, 10
+	// rememberedPrograms is the number of programs after which what was learned counts half.
+	rememberedPrograms = 200
+	// plentyLevel is the part of its burst above which a workspace's programs begin whatever the plan says.
+	plentyLevel = 0.15
+	// beginRetry is when a program may come back that its workspace's rate does not hold now.
+	beginRetry = 800 * time.Millisecond
 	// reservePart is the part of a rate that all gateways together may use without a keeper. It is below the overage
 	// that the promise of rates allows.
 	reservePart = 0.08
+	// answerLife is how long the keeper counts as reachable after an answer.
+	answerLife = 400 * time.Millisecond
 	// warnEvery is the least time between two log lines about missing loans of one workspace.
 	warnEvery = time.Second
 )
@@ -53,46 +68,69 @@
 	// bucket is the whole rate, of use only while kept is held.
 	bucket rate.Bucket
 	kept   *owner.Partition
-	// refused is when the keeper last had nothing to lend, and answered when it last answered.
-	refused, answered time.Time
+	// answered is when the keeper last answered.
+	answered time.Time
+	// spent counts the tokens that gateways reported as spent, older ones less; of use only while kept is held.
+	spent float64
 	// warned is when a missing loan was last logged.
 	warned time.Time
 }
 
 func newRates(g *Gate) *rates { return &rates{gate: g, spaces: make(map[string]*space)} }
 
-// admit takes one request from the workspace's rate, or says when to come back.
-func (r *rates) admit(ctx context.Context, w layout.Workspace) *fault.Fault {
+// admit takes one request from the workspace's rate, or says when to come back. A request that begins a program also
+// takes what the program is expected to need from the workspace's plan, so that programs are not cut short by others
+// that begin.
+func (r *rates) admit(ctx context.Context, w layout.Workspace, begins bool) *fault.Fault {
 	if w.RatePerSecond <= 0 {
 		return nil
 	}
+	if begins {
+		plan := w
+		plan.Name = planPrefix + w.Name
+		if !r.acquire(ctx, plan, 0) {
+			return r.gate.refuse(fault.RateExceeded, "plan", "workspace %q has no room for one more program at %v requests per second",
+				w.Name, w.RatePerSecond).WithRetryAfter(beginRetry)
+		}
+	}
+	if r.acquire(ctx, w, borrowPatience) {
+		return nil
+	}
+	wait := time.Duration(float64(time.Second) * max(1, r.waitingOf(w.Name)) / w.RatePerSecond)
+	return r.gate.refuse(fault.RateExceeded, "rate", "workspace %q is above %v requests per second", w.Name, w.RatePerSecond).
+		WithRetryAfter(max(retrySoon, wait))
+}
+
+// planPrefix begins the names of the buckets for programs that begin.
+const planPrefix = "plan/"
+
+// acquire takes a token, waiting for loans at most for the patience after a first one.
+func (r *rates) acquire(ctx context.Context, w layout.Workspace, patience time.Duration) bool {
 	if ok, low := r.take(w, true); ok {
 		if low {
 			r.borrowAside(w)
 		}
-		return nil
+		return true
 	}
 	r.wait(w.Name, 1)
 	defer r.wait(w.Name, -1)
-	for until := time.Now().Add(borrowPatience); ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(patience); ctx.Err() == nil; {
 		r.borrow(ctx, w)
 		if ok, _ := r.take(w, false); ok {
-			return nil
+			return true
 		}
-		if r.empty(w) {
-			break
+		if !r.answeredLately(w.Name) && r.takeReserve(w) {
+			return true
 		}
-		if r.takeReserve(w) {
-			return nil
+		if !time.Now().Before(until) {
+			return false
 		}
 		select {
 		case <-time.After(borrowPause):
 		case <-ctx.Done():
 		}
 	}
-	wait := time.Duration(float64(time.Second) * max(1, r.waitingOf(w.Name)) / w.RatePerSecond)
-	return r.gate.refuse(fault.RateExceeded, "rate", "workspace %q is above %v requests per second", w.Name, w.RatePerSecond).
-		WithRetryAfter(max(retrySoon, wait))
+	return false
 }
 
 func (r *rates) space(name string) *space {
@@ -116,7 +154,7 @@
 	return r.space(name).waiting
 }
 
-// take spends one token of the wallet, and reports whether the wallet runs low.
+// take spends a token of the wallet, and reports whether the wallet runs low.
 func (r *rates) take(w layout.Workspace, arrival bool) (ok, low bool) {
 	now := time.Now()
 	r.mu.Lock()
@@ -126,22 +164,24 @@
 		s.demand = s.demand.WithArrival(now)
 	}
 	s.wallet, ok = s.wallet.Take(1, now)
+	if strings.HasPrefix(w.Name, planPrefix) {
+		return ok, false
+	}
 	return ok, s.wallet.Level(now) < s.demand.PerSecond(now)*borrowEarly.Seconds()
 }
 
-// empty reports whether the keeper has just said that the workspace's bucket is empty.
-func (r *rates) empty(w layout.Workspace) bool {
+// answeredLately reports whether the keeper answered in the last moments, if only that it has nothing to lend.
+func (r *rates) answeredLately(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.space(w.Name)
-	return !s.refused.IsZero() && s.refused.Equal(s.answered) && time.Since(s.refused) < borrowPause
+	return time.Since(r.space(name).answered) < answerLife
 }
 
-// takeReserve spends one token of this gateway's part of the overage.
+// takeReserve spends a token of this gateway's part of the overage.
 func (r *rates) takeReserve(w layout.Workspace) bool {
 	now := time.Now()
-	n := float64(len(r.gate.owner.Peers()) + 1)
-	q := rate.Quota{Rate: w.RatePerSecond * reservePart / n, Burst: max(1, w.Burst*reservePart/n)}
+	gates := float64(len(r.gate.owner.Peers()) + 1)
+	q := rate.Quota{Rate: w.RatePerSecond * reservePart / gates, Burst: max(1, w.Burst*reservePart/gates)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.space(w.Name)
@@ -179,7 +219,10 @@
 	r.mu.Lock()
 	s := r.space(w.Name)
 	q := borrowRequest{Workspace: w.Name}
-	q.Tokens = max(loanFloor, s.demand.PerSecond(asked)*borrowAhead.Seconds()+s.waiting-s.wallet.Level(asked))
+	q.Tokens = s.waiting
+	if !strings.HasPrefix(w.Name, planPrefix) {
+		q.Tokens = max(loanFloor, s.demand.PerSecond(asked)*borrowAhead.Seconds()+s.waiting-s.wallet.Level(asked))
+	}
 	s.wallet, q.Spent = s.wallet.Report(int64(part))
 	r.mu.Unlock()
 	var loan rate.Loan
@@ -197,10 +240,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.answered = time.Now()
-	s.refused = time.Time{}
-	if loan.Tokens <= 0 {
-		s.refused = s.answered
-	}
 	s.wallet = s.wallet.WithLoan(loan, int64(part), asked)
 }
 
@@ -219,7 +258,7 @@
 }
 
 func (r *rates) keeperPartition(workspace string) int {
-	return r.gate.owner.PartitionOf("rate/" + workspace)
+	return r.gate.owner.PartitionOf("rate/" + strings.TrimPrefix(workspace, planPrefix))
 }
 
 // lend gives a part of a workspace's rate to a gateway.
@@ -228,28 +267,60 @@
 	if !ok {
 		return rate.Loan{}, g.refuse(fault.Moved, "borrow", "the rate of workspace %q is kept elsewhere", q.Workspace)
 	}
-	w, ok := g.layout.Load().Workspace(q.Workspace)
+	name, plan := strings.CutPrefix(q.Workspace, planPrefix)
+	w, ok := g.layout.Load().Workspace(name)
 	if !ok {
-		return rate.Loan{}, g.refuse(fault.UnknownWorkspace, "borrow", "workspace %q is unknown", q.Workspace)
+		return rate.Loan{}, g.refuse(fault.UnknownWorkspace, "borrow", "workspace %q is unknown", name)
 	}
-	return g.rates.lend(p, w, q), nil
+	return g.rates.lend(p, w, q, plan), nil
 }
 
-func (r *rates) lend(p *owner.Partition, w layout.Workspace, q borrowRequest) rate.Loan {
+func (r *rates) lend(p *owner.Partition, w layout.Workspace, q borrowRequest, plan bool) rate.Loan {
 	now := time.Now()
 	quota := rate.Quota{Rate: w.RatePerSecond, Burst: max(1, w.Burst)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.space(w.Name)
-	if s.kept != p {
-		// A successor cannot know what its predecessor lent, so it starts with nothing.
-		level := 0.0
-		if p.Fresh() && r.gate.settings.FirstStart {
-			level = quota.Burst
+	whole := r.space(w.Name)
+	r.keep(whole, p, quota, now)
+	whole.bucket = whole.bucket.Refill(quota, now)
+	s := whole
+	if plan {
+		s = r.space(q.Workspace)
+		n := expected(whole.spent, s.spent)
+		plenty := whole.bucket.Level() > plentyLevel*quota.Burst
+		quota = rate.Quota{Rate: quota.Rate * planRoom / n, Burst: max(1, quota.Burst*planRoom/n)}
+		r.keep(s, p, quota, now)
+		s.bucket = s.bucket.Refill(quota, now)
+		if plenty {
+			s.bucket = s.bucket.Raised(q.Tokens)
 		}
-		s.kept, s.bucket = p, rate.NewBucket(level, now)
 	}
-	b, loan := s.bucket.Refill(quota, now).Release(q.Spent).Lend(q.Tokens, now)
+	b, loan := s.bucket.Release(q.Spent).Lend(q.Tokens, now)
 	s.bucket = b
+	for _, sp := range q.Spent {
+		s.spent += sp.Tokens
+	}
+	if plan && s.spent > rememberedPrograms {
+		s.spent /= 2
+		whole.spent /= 2
+	}
 	return loan
 }
+
+// expected returns the number of requests that a program of a workspace needs.
+func expected(requests, programs float64) float64 {
+	return max(1, (requests+firstExpected*firstPrograms)/(programs+firstPrograms))
+}
+
+// keep begins a bucket when the partition came into this process's hands. A successor cannot know what its predecessor
+// lent, so it starts with nothing.
+func (r *rates) keep(s *space, p *owner.Partition, q rate.Quota, now time.Time) {
+	if s.kept == p {
+		return
+	}
+	level := 0.0
+	if p.Fresh() && r.gate.settings.FirstStart {
+		level = q.Burst
+	}
+	s.kept, s.bucket, s.spent = p, rate.NewBucket(level, now), 0
+}
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -77,7 +77,8 @@
 	if !time.Now().Before(j.until) {
 		return j, g.refuse(fault.Overloaded, "admit", "the deadline has passed")
 	}
-	if f := g.rates.admit(ctx, j.workspace); f != nil {
+	begins := r.Turns && c.Program != "" && c.Turn.Previous == ""
+	if f := g.rates.admit(ctx, j.workspace, begins); f != nil {
 		return j, f
 	}
 	return j, nil
--- a/internal/role/gate/warm.go
+++ b/internal/role/gate/warm.go
@@ -6,14 +6,14 @@
 	"galenaward.example/galenaward/internal/state/turns"
 )
 
-// warmPrograms bounds the programs whose engine is remembered.
-const warmPrograms = 20_000
+// warmTurns bounds the turns whose engine is remembered.
+const warmTurns = 20_000
 
-// warmth remembers the engine that holds the cache of each program.
+// warmth remembers the engine that holds the cache of each turn.
 type warmth struct{ m *lru.Cache[turns.Ref, string] }
 
 func newWarmth() warmth {
-	m, err := lru.New[turns.Ref, string](warmPrograms)
+	m, err := lru.New[turns.Ref, string](warmTurns)
 	if err != nil {
 		panic(err) // The size is a constant above zero.
 	}
@@ -21,9 +21,9 @@
 }
 
 // of returns the instance of the engine, empty if none is known.
-func (w warmth) of(program turns.Ref) string {
-	instance, _ := w.m.Get(program)
+func (w warmth) of(turn turns.Ref) string {
+	instance, _ := w.m.Get(turn)
 	return instance
 }
 
-func (w warmth) set(program turns.Ref, instance string) { w.m.Add(program, instance) }
+func (w warmth) set(turn turns.Ref, instance string) { w.m.Add(turn, instance) }
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -58,8 +58,8 @@
 	backing    Backing
 	partitions int
 	member     string
-	note     func(event string, kv ...any)
-	group    *group.Group
+	note       func(event string, kv ...any)
+	group      *group.Group
 
 	mu         sync.Mutex
 	generation int64
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -143,6 +143,13 @@
 	return p.ledger.Chain(ref)
 }
 
+// Knows reports whether the program has begun a turn here.
+func (p *Partition) Knows(program turns.Ref) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.Program(program).Until != 0
+}
+
 // Certain returns the chain like Chain. If the turn is unknown, it first lets the store confirm that no other process
 // holds the partition: no end of a turn is told before its record is, so the turn then does not exist.
 func (p *Partition) Certain(ctx context.Context, ref turns.Ref) ([]turns.Turn, error) {
--- a/internal/sched/rate/bucket.go
+++ b/internal/sched/rate/bucket.go
@@ -67,6 +67,12 @@
 // Level returns the tokens as of the last refill.
 func (b Bucket) Level() float64 { return b.level }
 
+// Raised returns the bucket with at least n tokens.
+func (b Bucket) Raised(n float64) Bucket {
+	b.level = max(b.level, n)
+	return b
+}
+
 // Take removes n tokens if there are as many.
 func (b Bucket) Take(n float64) (Bucket, bool) {
 	if b.level < n-epsilon {
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -254,19 +254,18 @@
 	return ok && !s.Draining
 }
 
-// Census returns the upstreams of a service that take work, their slots and the requests that they hold.
-func (t *Table) Census(service string, now time.Time) (up, slots int, held float64) {
+// Census returns the slots of the upstreams of a service that take work, and the requests that they hold.
+func (t *Table) Census(service string, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.m {
 		if s.Service != service || s.Draining {
 			continue
 		}
-		up++
 		slots += s.Slots
 		held += s.load(now) * float64(s.Slots)
 	}
-	return up, slots, held
+	return slots, held
 }
 
 // Len returns the number of upstreams.
