--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// detachedRetry is when a caller may come back while the store takes no appends. Callers wait for up to a third of
-	// the time that they have left, and outages last for seconds.
-	detachedRetry = 1200 * time.Millisecond
+	// detachedPart is the part of a caller's time after which it may come back while the store takes no appends.
+	// Outages last for seconds, and callers wait for up to a third of the time that they have left.
+	detachedPart = 0.32
 	// warmBonus is the requests per slot by which another engine must be less loaded to run a turn whose cache stands
 	// elsewhere.
 	warmBonus = 0.35
@@ -104,7 +104,8 @@
 	case errors.Is(err, turns.ErrBudget):
 		return g.refuse(fault.BudgetExhausted, "budget", "%v", err)
 	case errors.Is(err, owner.ErrDetached):
-		return g.refuse(fault.LogUnavailable, "home", "%v", err).WithRetryAfter(detachedRetry)
+		return g.refuse(fault.LogUnavailable, "home", "%v", err).
+			WithRetryAfter(time.Duration(detachedPart * float64(q.LeftMS) * float64(time.Millisecond)))
 	case errors.Is(err, owner.ErrMoved):
 		return g.refuse(fault.Moved, "home", "%v", err)
 	}
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -281,7 +281,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	whole := r.space(w.Name)
-	r.keep(whole, p, quota, now)
+	level := 0.0
+	if p.Fresh() && r.gate.settings.FirstStart {
+		level = quota.Burst // Otherwise a predecessor may have lent any of it.
+	}
+	r.keep(whole, p, quota, level, now)
 	whole.bucket = whole.bucket.Refill(quota, now)
 	s := whole
 	if plan {
@@ -289,7 +293,8 @@
 		n := expected(whole.spent, s.spent)
 		plenty := whole.bucket.Level() > plentyLevel*quota.Burst
 		quota = rate.Quota{Rate: quota.Rate * planRoom / n, Burst: max(1, quota.Burst*planRoom/n)}
-		r.keep(s, p, quota, now)
+		// The plan promises nothing, so a successor may start with all of it.
+		r.keep(s, p, quota, quota.Burst, now)
 		s.bucket = s.bucket.Refill(quota, now)
 		if plenty {
 			s.bucket = s.bucket.Raised(q.Tokens)
@@ -312,15 +317,10 @@
 	return max(1, (requests+firstExpected*firstPrograms)/(programs+firstPrograms))
 }
 
-// keep begins a bucket when the partition came into this process's hands. A successor cannot know what its predecessor
-// lent, so it starts with nothing.
-func (r *rates) keep(s *space, p *owner.Partition, q rate.Quota, now time.Time) {
+// keep begins a bucket with the level given when the partition came into this process's hands.
+func (r *rates) keep(s *space, p *owner.Partition, q rate.Quota, level float64, now time.Time) {
 	if s.kept == p {
 		return
 	}
-	level := 0.0
-	if p.Fresh() && r.gate.settings.FirstStart {
-		level = q.Burst
-	}
-	s.kept, s.bucket, s.spent = p, rate.NewBucket(level, now), 0
+	s.kept, s.bucket, s.spent = p, rate.NewBucket(min(level, q.Burst), now), 0
 }
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/plat/group"
 	"galenaward.example/galenaward/internal/state/layout"
@@ -38,6 +41,8 @@
 	RetentionMS int64 `json:"retention_ms"`
 	// LeftMS is how long the turn may take.
 	LeftMS int64 `json:"left_ms"`
+	// Try counts the homes that were asked, so that the refusal of an earlier one is not taken for the answer.
+	Try int `json:"try"`
 	// ProgramLeftMS is the time left until the program should be finished; zero if unknown.
 	ProgramLeftMS int64 `json:"program_left_ms"`
 }
@@ -109,6 +114,7 @@
 		return g.refuse(fault.Moved, "home", "the holder of partition %d is unknown", q.Partition)
 	}
 	deadline, _ := ctx.Deadline()
+	q.Try++
 	q.LeftMS = time.Until(deadline).Milliseconds()
 	if self {
 		return g.runTurn(ctx, q, out)
@@ -158,7 +164,10 @@
 	return f
 }
 
-func (q *turnRequest) streamID() string { return q.Workspace + "~" + q.Call.ID }
+// streamID names this try of the turn; ids may be any text, so they are hashed.
+func (q *turnRequest) streamID() string {
+	return strconv.FormatUint(xxhash.Sum64String(q.Workspace+"\x00"+q.Call.ID), 36) + "-" + strconv.Itoa(q.Try)
+}
 
 // cancelAside ends a turn at its home without keeping the caller waiting.
 func (g *Gate) cancelAside(address, id string) {
--- /dev/null
+++ b/internal/sched/roster/roster_test.go
@@ -0,0 +1,118 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func up(id string) Upstream {
+	return Upstream{Instance: id, Address: id + ":1", Service: "s", DataCentre: "a", Slots: 10, Born: 1}
+}
+
+func TestPickPassesOver(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Table)
+	}{
+		{"draining", func(t *Table) { u := up("x"); u.Draining = true; t.Update(u) }},
+		{"gone", func(t *Table) { t.Remove("x", now) }},
+		{"of another service", func(t *Table) { u := up("x"); u.Service = "other"; t.Update(u) }},
+		{"unreachable", func(t *Table) { t.Done("x", Unreachable, now) }},
+		{"full", func(t *Table) { t.Done("x", Rejected, now) }},
+		{"with a strange address", func(t *Table) { t.Done("x", Misdirected, now) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tb := New()
+			tb.Update(up("x"))
+			tt.change(tb)
+			_, ok := tb.Pick(Want{Service: "s", DataCentre: "a"}, now)
+			is.True(!ok)
+		})
+	}
+}
+
+func TestUnreachableUpstreamsAreTriedAgain(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	tb.Update(up("x"))
+	at := now
+	for range 20 {
+		tb.Done("x", Unreachable, at)
+		at = at.Add(maxPause)
+		_, ok := tb.Pick(Want{Service: "s"}, at)
+		is.True(ok)
+	}
+}
+
+// TestWarmUpstreamIsKeptUntilItIsMuchMoreLoaded is the pattern of programs whose cache stands at one engine.
+func TestWarmUpstreamIsKeptUntilItIsMuchMoreLoaded(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	for i := range 4 {
+		tb.Update(up(fmt.Sprint("e", i)))
+	}
+	w := Want{Service: "s", DataCentre: "a", Warm: "e2", WarmBonus: 0.35}
+	for range 3 {
+		u, ok := tb.Pick(w, now)
+		is.True(ok)
+		is.Equal(u.Instance, "e2")
+	}
+	tb.Heard("e2", Load{Running: 10, Waiting: 3, Slots: 10}, now)
+	u, ok := tb.Pick(w, now)
+	is.True(ok)
+	is.True(u.Instance != "e2")
+}
+
+// TestLoadIsSpread sends 400 requests that all last; the most loaded upstream stays close to the mean.
+func TestLoadIsSpread(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	count := make(map[string]int)
+	for i := range 8 {
+		tb.Update(up(fmt.Sprint("e", i)))
+	}
+	for range 400 {
+		u, _ := tb.Pick(Want{Service: "s", DataCentre: "a"}, now)
+		count[u.Instance]++
+	}
+	for _, n := range count {
+		is.True(n >= 45 && n <= 55)
+	}
+}
+
+// TestOutageOfTheStoreKeepsUpstreams checks that announcements which lapse while the store was away count as gone only
+// if they are not back in time.
+func TestOutageOfTheStoreKeepsUpstreams(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	tb.Update(up("back"))
+	tb.Update(up("lost"))
+	tb.Hold(now.Add(2 * time.Second))
+	tb.Replace(nil, now.Add(time.Second))
+	is.Equal(tb.Len(), 2)
+	tb.Update(up("back"))
+	tb.Settle(now.Add(time.Second))
+	is.Equal(tb.Len(), 2)
+	tb.Settle(now.Add(3 * time.Second))
+	is.Equal(tb.Len(), 1)
+	is.True(tb.Up("back"))
+}
+
+func TestRestartUnderTheSameNameForgetsWhatWasKnown(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	tb.Update(up("x"))
+	tb.Done("x", Unreachable, now)
+	u := up("x")
+	u.Born = 2
+	is.Equal(tb.Update(u), "x:1")
+	_, ok := tb.Pick(Want{Service: "s"}, now)
+	is.True(ok)
+}
--- /dev/null
+++ b/internal/state/layout/layout_test.go
@@ -0,0 +1,60 @@
+package layout
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestMatch(t *testing.T) {
+	l := New(Layout{Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/x", ""},
+		{"a.example", "/X/1", ""},
+		{"a.example", "//x/1", ""},
+		{"b.example", "/x/1", "other"},
+		{"c.example", "/x/1", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.host+tt.path, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := l.Match(tt.host, tt.path)
+			is.Equal(r.Name, tt.want)
+			is.Equal(ok, tt.want != "")
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	count := make(map[string]int)
+	for i := range 1000 {
+		count[r.Pick(float64(i)/1000)]++
+	}
+	is.Equal(count["a"], 900)
+	is.Equal(count["b"], 100)
+}
+
+func TestHolderAndRank(t *testing.T) {
+	is := is.New(t)
+	l := New(Layout{Workspaces: []Workspace{
+		{Name: "plain", Keys: []string{"k1", "k2"}},
+		{Name: "urgent", Keys: []string{"k3"}, HasPriority: true},
+	}})
+	w, ok := l.Holder("k2")
+	is.True(ok)
+	is.Equal(Route{Priority: 2}.Rank(w), 2)
+	w, ok = l.Holder("k3")
+	is.True(ok)
+	is.Equal(Route{Priority: 2}.Rank(w), 0)
+	_, ok = l.Holder("")
+	is.True(!ok)
+}
--- /dev/null
+++ b/internal/state/turns/ledger_test.go
@@ -0,0 +1,231 @@
+package turns
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"galenaward.example/galenaward/internal/state/store"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func claim(budget, most int64) Claim {
+	return Claim{Program: Ref{"shop", "p1"}, Budget: budget, Most: most, Keep: time.Minute}
+}
+
+func turn(id, previous, input, output string) Turn {
+	return Turn{
+		Ref: Ref{"shop", id}, Program: "p1", Previous: previous, Input: []byte(input), Output: []byte(output),
+		Until: start.Add(time.Minute).UnixMilli(),
+	}
+}
+
+// newest applies records to a log that keeps the newest of each key.
+type newest map[string][]byte
+
+func (n newest) apply(rs ...store.Record) {
+	for _, r := range rs {
+		if len(r.Value) == 0 {
+			delete(n, r.Key)
+			continue
+		}
+		n[r.Key] = r.Value
+	}
+}
+
+func (n newest) restore(t *testing.T) *Ledger {
+	t.Helper()
+	l := New()
+	for k, v := range n {
+		if err := l.Restore(store.Record{Key: k, Value: v}); err != nil {
+			t.Fatalf("restore %q: %v", k, err)
+		}
+	}
+	l.Restored()
+	return l
+}
+
+func TestReserve(t *testing.T) {
+	tests := []struct {
+		name    string
+		budget  int64
+		spent   []int64
+		most    int64
+		refused bool
+	}{
+		{"the first turn fits", 100, nil, 100, false},
+		{"a turn larger than the budget", 100, nil, 101, true},
+		{"what is left holds the turn", 100, []int64{20, 30}, 50, false},
+		{"what is left is one token short", 100, []int64{20, 31}, 50, true},
+		{"no budget", 0, []int64{1_000_000}, 50, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New()
+			for _, n := range tt.spent {
+				c := claim(0, n)
+				_, err := l.Reserve(c, start)
+				is.NoErr(err)
+				l.Cancel(c, n)
+			}
+			_, err := l.Reserve(claim(tt.budget, tt.most), start)
+			is.Equal(errors.Is(err, ErrBudget), tt.refused)
+		})
+	}
+}
+
+// TestParallelSubAgentsShareTheBudget lets five sub-agents ask at once, as the pages' programs do.
+func TestParallelSubAgentsShareTheBudget(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	admitted := 0
+	for range 5 {
+		if _, err := l.Reserve(claim(870, 290), start); err == nil {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 3)
+}
+
+// TestBudgetHoldsOverTakeovers runs random programs whose home dies at random moments. Records reach the log before the
+// tokens that they cover are handed out; what comes after a death starts from the log alone.
+func TestBudgetHoldsOverTakeovers(t *testing.T) {
+	const budget, most = 900, 100
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		log, l := newest{}, New()
+		handed := int64(0)
+		for i := range 200 {
+			c := claim(budget, most)
+			rec, err := l.Reserve(c, start)
+			if err != nil {
+				break
+			}
+			if rec != nil {
+				log.apply(*rec)
+			}
+			n := rng.Int64N(most + 1)
+			handed += n
+			switch rng.IntN(4) {
+			case 0: // The home dies while the turn runs.
+				l = log.restore(t)
+			case 1: // The turn breaks off.
+				l.Cancel(c, n)
+			case 2: // The home dies before the end is durable.
+				l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n)
+				l = log.restore(t)
+			default:
+				log.apply(l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n)...)
+			}
+		}
+		if handed > budget {
+			t.Fatalf("seed %d: %d tokens handed out of %d", seed, handed, budget)
+		}
+	}
+}
+
+func TestChainSurvivesATakeover(t *testing.T) {
+	is := is.New(t)
+	log, l := newest{}, New()
+	c := claim(0, 10)
+	for _, tn := range []Turn{turn("a", "", "1", "x\n"), turn("b", "a", "2", "y\n"), turn("c", "a", "3", "z\n")} {
+		_, err := l.Reserve(c, start)
+		is.NoErr(err)
+		log.apply(l.Finish(c, tn, 5)...)
+	}
+	for _, led := range []*Ledger{l, log.restore(t)} {
+		chain, err := led.Chain(Ref{"shop", "b"})
+		is.NoErr(err)
+		is.Equal(string(Prompt(chain, []byte("new"))), "1x\n2y\nnew")
+		chain, err = led.Chain(Ref{"shop", "c"})
+		is.NoErr(err)
+		is.Equal(string(Prompt(chain, nil)), "1x\n3z\n")
+	}
+}
+
+func TestTurnsOfAnotherWorkspaceAreUnknown(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	c := claim(0, 10)
+	_, err := l.Reserve(c, start)
+	is.NoErr(err)
+	l.Finish(c, turn("a", "", "1", "x\n"), 5)
+	_, err = l.Chain(Ref{"rival", "a"})
+	is.True(errors.Is(err, ErrUnknown))
+}
+
+// TestExpireKeepsAChainAsLongAsItsLastTurn checks the retention, also after a takeover that reads records in any order.
+func TestExpireKeepsAChainAsLongAsItsLastTurn(t *testing.T) {
+	is := is.New(t)
+	log, l := newest{}, New()
+	c := claim(0, 10)
+	first, last := turn("a", "", "1", "x\n"), turn("b", "a", "2", "y\n")
+	last.Until = start.Add(3 * time.Minute).UnixMilli()
+	for _, tn := range []Turn{first, last} {
+		_, err := l.Reserve(c, start)
+		is.NoErr(err)
+		log.apply(l.Finish(c, tn, 5)...)
+	}
+	for _, led := range []*Ledger{l, log.restore(t)} {
+		log.apply(led.Expire(start.Add(2 * time.Minute))...)
+		_, err := led.Chain(Ref{"shop", "b"})
+		is.NoErr(err)
+		log.apply(led.Expire(start.Add(4 * time.Minute))...)
+		turnCount, _ := led.Len()
+		is.Equal(turnCount, 0)
+	}
+	is.Equal(len(log), 0)
+}
+
+func TestDamagedRecords(t *testing.T) {
+	good := turnRecord(turn("a", "", "input", "output"))
+	tests := []struct {
+		name string
+		rec  store.Record
+	}{
+		{"no kind", store.Record{Key: "x", Value: []byte{1}}},
+		{"strange kind", store.Record{Key: "q/shop/a", Value: []byte{1}}},
+		{"account that is no JSON", store.Record{Key: "p/shop/p1", Value: []byte("{")}},
+		{"turn cut short", store.Record{Key: good.Key, Value: good.Value[:5]}},
+		{"turn under another key", store.Record{Key: "t/shop/b", Value: good.Value}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New()
+			is.True(l.Restore(tt.rec) != nil)
+			turnCount, programs := l.Len()
+			is.Equal(turnCount+programs, 0)
+		})
+	}
+}
+
+func FuzzRestore(f *testing.F) {
+	r := turnRecord(turn("a", "", "input", "output"))
+	f.Add(r.Key, r.Value)
+	f.Add("p/shop/p1", []byte(`{"ceiling":5}`))
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		l := New()
+		if l.Restore(store.Record{Key: key, Value: value}) == nil {
+			l.Restored()
+		}
+	})
+}
+
+func TestNamesWithSlashes(t *testing.T) {
+	is := is.New(t)
+	log, l := newest{}, New()
+	c := Claim{Program: Ref{"a/b", "p/1"}, Most: 10}
+	_, err := l.Reserve(c, start)
+	is.NoErr(err)
+	log.apply(l.Finish(c, Turn{Ref: Ref{"a/b", "t/1"}, Input: []byte("in"), Until: start.UnixMilli()}, 5)...)
+	chain, err := log.restore(t).Chain(Ref{"a/b", "t/1"})
+	is.NoErr(err)
+	is.Equal(len(chain), 1)
+}
--- /dev/null
+++ b/internal/wire/events/events_test.go
@@ -0,0 +1,37 @@
+package events
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestScanner(t *testing.T) {
+	tests := []struct {
+		name, stream, data string
+		count              int64
+		clean              bool
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "a\nb\n", 2, true},
+		{"carriage returns", "data: a\r\n\r\n", "a\n", 1, true},
+		{"several data lines", "data: a\ndata:b\n\n", "a\nb\n", 1, true},
+		{"comments and empty events", ": beat\n\n\ndata: a\n\n", "a\n", 1, true},
+		{"cut in an event", "data: a\n\ndata: b\n", "a\n", 1, false},
+		{"cut in a line", "data: a\n\nda", "a\n", 1, false},
+		{"nothing", "", "", 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, step := range []int{1, 2, 3, 7, 1000} {
+				is := is.New(t)
+				var s Scanner
+				for b := []byte(tt.stream); len(b) > 0; b = b[min(step, len(b)):] {
+					s.Write(b[:min(step, len(b))])
+				}
+				is.Equal(string(s.Data()), tt.data)
+				is.Equal(s.Count(), tt.count)
+				is.Equal(s.Clean(), tt.clean)
+			}
+		})
+	}
+}
