--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -24,7 +24,7 @@
 	detachedPart = 0.32
 	// warmBonus is the requests per slot by which another engine must be less loaded to run a turn whose cache stands
 	// elsewhere.
-	warmBonus = 0.35
+	warmBonus = 1.2
 	// adoptTimeout bounds the handing of a turn to the new holder of its partition. A caller leaves a stream that is
 	// silent for two seconds.
 	adoptTimeout = 1800 * time.Millisecond
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -58,9 +58,9 @@
 	// loadLife is how long a load report counts; upstreams report with each answer.
 	loadLife = time.Second
 	// farPenalty is the load per slot that an upstream in another data centre must be below a near one.
-	farPenalty = 0.10
+	farPenalty = 0.25
 	// jitter is the load per slot within which the choice is random, so that entries do not all choose the same.
-	jitter = 0.08
+	jitter = 0.04
 )
 
 // state is an upstream with what requests found out.
@@ -75,6 +75,8 @@
 	failures int
 	// avoid is when the upstream may be chosen again.
 	avoid time.Time
+	// answers says that the upstream takes requests although the last answer was broken: it is chosen rather than none.
+	answers bool
 	// missing is when the announcement vanished during an outage of the store; zero if it stands.
 	missing time.Time
 }
@@ -178,10 +180,26 @@
 func (t *Table) Pick(w Want, now time.Time) (Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	best := t.best(w, now, false)
+	if best == nil {
+		best = t.best(w, now, true)
+	}
+	if best == nil {
+		return Upstream{}, false
+	}
+	best.own++
+	return best.Upstream, true
+}
+
+// best returns the upstream with the lowest score; those that gave broken answers lately count only if asked for.
+func (t *Table) best(w Want, now time.Time, broken bool) *state {
 	var best *state
 	var bestScore float64
 	for _, s := range t.m {
-		if s.Service != w.Service || s.Draining || slices.Contains(w.Skip, s.Instance) || now.Before(s.avoid) {
+		if s.Service != w.Service || s.Draining || slices.Contains(w.Skip, s.Instance) {
+			continue
+		}
+		if now.Before(s.avoid) && !(broken && s.answers) {
 			continue
 		}
 		score := s.load(now) + jitter*rand.Float64()
@@ -195,11 +213,7 @@
 			best, bestScore = s, score
 		}
 	}
-	if best == nil {
-		return Upstream{}, false
-	}
-	best.own++
-	return best.Upstream, true
+	return best
 }
 
 // load is the requests per slot.
@@ -229,6 +243,7 @@
 		return
 	}
 	s.own = max(0, s.own-1)
+	s.answers = o == Answered || o == Broken || (o == Abandoned && s.answers)
 	switch o {
 	case Answered:
 		s.failures = 0
