Quarantine requests that crash upstreams; plan programs by what whole ones need

Cause: a request that crashes each upstream came again through any gateway without end. Change: the death of an upstream after a broken answer is probed and told to the peers; after three a request is not run. The plan learns only while tokens are at hand.

--- /dev/null
+++ b/internal/role/gate/crash.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/sched/poison"
+	"galenaward.example/galenaward/internal/sched/roster"
+)
+
+const (
+	// crashLimit is the number of upstreams that a request may crash before it is not run again. It is above the one of
+	// sidecars, which run a suspect apart from others and so are sure after two.
+	crashLimit = 3
+	// crashLife is how long a request that crashes upstreams is remembered.
+	crashLife = 30 * time.Second
+	// crashProbeAfter is how long after a broken answer the upstream is looked at, crashProbeTimeout how long that takes.
+	crashProbeAfter   = 50 * time.Millisecond
+	crashProbeTimeout = 300 * time.Millisecond
+)
+
+// crashes remembers the requests that ran while their upstreams died. The zero value is not ready for use.
+type crashes struct {
+	mu    sync.Mutex
+	table poison.Table
+}
+
+func newCrashes() *crashes { return &crashes{table: poison.NewTable(crashLife).WithLimit(crashLimit)} }
+
+// crashNotice tells a peer of an upstream that died while it ran a request.
+type crashNotice struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	Event       string `json:"event"`
+}
+
+func (c *crashes) take(n crashNotice, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table = c.table.WithCrash([]uint64{n.Fingerprint}, n.Event, now)
+}
+
+func (c *crashes) verdict(fingerprint uint64, now time.Time) poison.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Verdict(fingerprint, now)
+}
+
+// served clears a request that ran to its end.
+func (c *crashes) served(fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table = c.table.WithSuccess(fingerprint)
+}
+
+// fingerprint identifies a request over its attempts, which have ids of their own.
+func (j *job) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{j.call.Method, j.call.Host, j.call.Target, j.workspace.Name, j.call.Turn.Previous} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(j.call.Body)
+	return d.Sum64()
+}
+
+// quarantine refuses a request that has crashed too many upstreams.
+func (g *Gate) quarantine(j *job) *fault.Fault {
+	if g.crashes.verdict(j.fingerprint(), time.Now()) != poison.Quarantined {
+		return nil
+	}
+	g.metrics.Add("quarantined", 1)
+	return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q", crashLimit, j.route.Name)
+}
+
+// suspect looks whether the upstream that broke an answer off is dead, and tells the peers if so.
+func (g *Gate) suspect(j *job, u roster.Upstream) {
+	n := crashNotice{Fingerprint: j.fingerprint(), Event: u.Instance + "/" + strconv.FormatInt(u.Born, 10)}
+	g.group.Go(func(ctx context.Context) error {
+		select {
+		case <-time.After(crashProbeAfter):
+		case <-ctx.Done():
+			return nil
+		}
+		d := net.Dialer{Timeout: crashProbeTimeout}
+		c, err := d.DialContext(ctx, "tcp", u.Address)
+		if err == nil {
+			return c.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return nil
+		}
+		g.crashes.take(n, time.Now())
+		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", j.call.ID, "fingerprint", n.Fingerprint)
+		g.tellCrash(ctx, n)
+		return nil
+	})
+}
+
+// tellCrash tells the peers of a crash, so that the request does not try its luck through them.
+func (g *Gate) tellCrash(ctx context.Context, n crashNotice) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	var eg errgroup.Group
+	for _, address := range g.owner.Peers() {
+		eg.Go(func() error {
+			_, err := ask[struct{}](ctx, g.peers, address, crashPath, n)
+			return err
+		})
+	}
+	if err := eg.Wait(); err != nil {
+		g.note("crash_not_told", "fingerprint", n.Fingerprint, "cause", err)
+	}
+}
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -54,6 +54,7 @@
 	readers readers
 	warm    warmth
 	asked   asked
+	crashes *crashes
 	policy  admit.Policy
 	ready   serve.Ready
 	stop    stopping
@@ -80,7 +81,7 @@
 	gt := &Gate{
 		settings: s, codec: d.Codec, read: d.Announcements, lg: d.Log, metrics: d.Metrics, group: g,
 		roster: roster.New(), streams: frame.NewSet(), warm: newWarmth(),
-		asked: newAsked(), policy: admit.DefaultPolicy(),
+		asked: newAsked(), crashes: newCrashes(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -49,12 +49,15 @@
 	if !ok {
 		return g.refuse(fault.Moved, "home", "partition %d is not held here", q.Partition)
 	}
+	deadline, _ := ctx.Deadline()
+	a := q.attempts(deadline)
+	if f := g.quarantine(a.job); f != nil {
+		return f
+	}
 	t := &turnRun{turnRequest: q, gate: g, part: p, out: out}
 	if f := t.begin(ctx); f != nil {
 		return f
 	}
-	deadline, _ := ctx.Deadline()
-	a := q.attempts(deadline)
 	prompt := turns.Prompt(t.begun.Chain, q.Call.Body)
 	warm := g.warm.of(turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous})
 	for a.more() && ctx.Err() == nil {
@@ -62,9 +65,9 @@
 		if !ok {
 			break
 		}
-		ans, v, ok := g.exchange(ctx, a, u, prompt, urgency(q))
+		ans, ok := g.exchange(ctx, a, u, prompt, urgency(q))
 		if ok {
-			return t.stream(ctx, a, u, v, ans)
+			return t.stream(ctx, a, u, ans)
 		}
 		if a.ran {
 			break
@@ -133,7 +136,7 @@
 }
 
 // stream passes an engine's answer on. Its end is told once the turn is durable.
-func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, v Verdict, ans *httpc.Answer) *fault.Fault {
+func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, ans *httpc.Answer) *fault.Fault {
 	defer ans.Close()
 	g := t.gate
 	if err := t.part.Await(ctx, t.begun.Ticket); err != nil {
@@ -163,7 +166,7 @@
 			return g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.Count(), err).WithOutcome(fault.Ran)
 		}
 	}
-	g.ended(u, v)
+	g.ended(a.job, u)
 	g.warm.set(turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, u.Instance)
 	return t.finish(ctx, ans.Status)
 }
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -27,6 +27,7 @@
 	chainPath  = "/v1/chain"
 	storePath  = "/v1/store"
 	pokePath   = "/v1/poke"
+	crashPath  = "/v1/crash"
 )
 
 const (
@@ -190,6 +191,10 @@
 		g.owner.Poke()
 		return struct{}{}, nil
 	}))
+	mux.Handle("POST "+crashPath, answer(g, func(_ context.Context, n crashNotice) (struct{}, error) {
+		g.crashes.take(n, time.Now())
+		return struct{}{}, nil
+	}))
 	mux.Handle("POST "+storePath, answer(g, func(ctx context.Context, q storeRequest) (storeAnswer, error) {
 		return runStore(ctx, direct, q), nil
 	}))
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -39,6 +39,9 @@
 
 // servePlain sends a call to an upstream of its service and repeats what may be repeated.
 func (g *Gate) servePlain(ctx context.Context, j *job, w Reply) *fault.Fault {
+	if f := g.quarantine(j); f != nil {
+		return f
+	}
 	a := &attempts{job: j, service: j.service()}
 	for a.more() && ctx.Err() == nil {
 		u, ok := g.pick(a, "", 0)
@@ -86,7 +89,7 @@
 
 // tryPlain sends the call to one upstream. Done means that the caller has its answer, or part of it.
 func (g *Gate) tryPlain(ctx context.Context, a *attempts, u roster.Upstream, w Reply) (done bool, f *fault.Fault) {
-	ans, v, ok := g.exchange(ctx, a, u, a.call.Body, -1)
+	ans, ok := g.exchange(ctx, a, u, a.call.Body, -1)
 	if !ok {
 		return false, nil
 	}
@@ -98,7 +101,7 @@
 	}
 	h := g.codec.Backward(ans.Header)
 	if len(head) < heldBytes {
-		g.ended(u, v)
+		g.ended(a.job, u)
 		w.Head(ans.Status, h, int64(len(head)))
 		if err := w.Write(head); err != nil {
 			return true, g.callerGone(err)
@@ -106,11 +109,11 @@
 		return true, nil
 	}
 	w.Head(ans.Status, h, -1)
-	return true, g.passOn(ctx, a, u, v, w, io.MultiReader(bytes.NewReader(head), ans.Body))
+	return true, g.passOn(ctx, a, u, w, io.MultiReader(bytes.NewReader(head), ans.Body))
 }
 
 // passOn copies a long answer as it arrives.
-func (g *Gate) passOn(ctx context.Context, a *attempts, u roster.Upstream, v Verdict, w Reply, r io.Reader) *fault.Fault {
+func (g *Gate) passOn(ctx context.Context, a *attempts, u roster.Upstream, w Reply, r io.Reader) *fault.Fault {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := r.Read(buf)
@@ -121,7 +124,7 @@
 			}
 		}
 		if err == io.EOF {
-			g.ended(u, v)
+			g.ended(a.job, u)
 			return nil
 		}
 		if err != nil {
@@ -137,7 +140,7 @@
 
 // exchange sends the call to one upstream and returns the head of an answer that counts. Otherwise it has noted why
 // not.
-func (g *Gate) exchange(ctx context.Context, a *attempts, u roster.Upstream, body []byte, urgency int) (*httpc.Answer, Verdict, bool) {
+func (g *Gate) exchange(ctx context.Context, a *attempts, u roster.Upstream, body []byte, urgency int) (*httpc.Answer, bool) {
 	d := Dispatch{Instance: u.Instance, Workspace: a.workspace.Name, Left: time.Until(a.until), Urgency: urgency}
 	q := &httpc.Request{
 		Method: a.call.Method, Target: a.call.Target, Host: a.call.Host, Header: g.codec.Forward(a.call, d), Body: body,
@@ -147,12 +150,12 @@
 		a.unsent++
 		a.last = err
 		g.outcome(ctx, a, u, roster.Unreachable, err)
-		return nil, Verdict{}, false
+		return nil, false
 	}
 	a.sent++
 	if err != nil {
 		g.broken(ctx, a, u, err)
-		return nil, Verdict{}, false
+		return nil, false
 	}
 	v := g.codec.Verdict(ans.Status, ans.Header)
 	if v.HasLoad {
@@ -167,20 +170,23 @@
 		ans.Close()
 		a.last = errors.Newf("upstream %s answered %d without running the request", u.Instance, ans.Status)
 		g.outcome(ctx, a, u, o, a.last)
-		return nil, v, false
+		return nil, false
 	}
 	a.ran = true
 	if !v.Signed && ans.Status < http.StatusBadRequest {
 		ans.Close()
 		g.broken(ctx, a, u, errors.Newf("answer with status %d has no signature", ans.Status))
-		return nil, v, false
+		return nil, false
 	}
-	return ans, v, true
+	return ans, true
 }
 
 // broken notes that an upstream may have run the call and gave no whole answer.
 func (g *Gate) broken(ctx context.Context, a *attempts, u roster.Upstream, err error) {
 	a.ran, a.last = true, err
+	if ctx.Err() == nil {
+		g.suspect(a.job, u)
+	}
 	g.outcome(ctx, a, u, roster.Broken, err)
 }
 
@@ -194,6 +200,8 @@
 		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "cause", err)
 }
 
-func (g *Gate) ended(u roster.Upstream, _ Verdict) {
+// ended notes that the upstream's whole answer arrived.
+func (g *Gate) ended(j *job, u roster.Upstream) {
+	g.crashes.served(j.fingerprint())
 	g.roster.Done(u.Instance, roster.Answered, time.Now())
 }
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -22,7 +22,9 @@
 	// borrowTimeout bounds one request for a loan.
 	borrowTimeout = 250 * time.Millisecond
 	// borrowPatience bounds the wait of a call for loans. It covers the time in which a partition changes hands.
-	borrowPatience = 300 * time.Millisecond
+	borrowPatience = 600 * time.Millisecond
+	// planPatience bounds the wait of a program that begins.
+	planPatience = 150 * time.Millisecond
 	borrowPause    = 30 * time.Millisecond
 	// loanFloor is the least that is borrowed at a time.
 	loanFloor = 2
@@ -34,8 +36,10 @@
 	firstExpected, firstPrograms = 10, 10
 	// rememberedPrograms is the number of programs after which what was learned counts half.
 	rememberedPrograms = 200
+	// scarceTime is how long after a lack of tokens nothing is learned about programs; most end within it.
+	scarceTime = 5 * time.Second
 	// plentyLevel is the part of its burst above which a workspace's programs begin whatever the plan says.
-	plentyLevel = 0.15
+	plentyLevel = 0.5
 	// beginRetry is when a program may come back that its workspace's rate does not hold now.
 	beginRetry = 800 * time.Millisecond
 	// reservePart is the part of a rate that all gateways together may use without a keeper. It is below the overage
@@ -70,6 +74,8 @@
 	kept   *owner.Partition
 	// answered is when the keeper last answered.
 	answered time.Time
+	// scarce is when the bucket last had less than a token for a gateway that asked; of use only while kept is held.
+	scarce time.Time
 	// spent counts the tokens that gateways reported as spent, older ones less; of use only while kept is held.
 	spent float64
 	// warned is when a missing loan was last logged.
@@ -88,7 +94,7 @@
 	if begins {
 		plan := w
 		plan.Name = planPrefix + w.Name
-		if !r.acquire(ctx, plan, 0) {
+		if !r.acquire(ctx, plan, planPatience) {
 			return r.gate.refuse(fault.RateExceeded, "plan", "workspace %q has no room for one more program at %v requests per second",
 				w.Name, w.RatePerSecond).WithRetryAfter(beginRetry)
 		}
@@ -302,8 +308,14 @@
 	}
 	b, loan := s.bucket.Release(q.Spent).Lend(q.Tokens, now)
 	s.bucket = b
-	for _, sp := range q.Spent {
-		s.spent += sp.Tokens
+	if !plan && loan.Tokens < min(1, q.Tokens) {
+		whole.scarce = now
+	}
+	// Programs that are cut short for want of tokens would make others look small.
+	if now.Sub(whole.scarce) > scarceTime {
+		for _, sp := range q.Spent {
+			s.spent += sp.Tokens
+		}
 	}
 	if plan && s.spent > rememberedPrograms {
 		s.spent /= 2
--- a/internal/role/owner/pace.go
+++ b/internal/role/owner/pace.go
@@ -10,6 +10,11 @@
 	leastTimeout = 100 * time.Millisecond
 	// mostTimeout bounds one try.
 	mostTimeout = 1500 * time.Millisecond
+	// quickTries is the number of tries that are given up early, so that the end of an outage is noticed soon. A store
+	// that has turned very slow is given more time after them.
+	quickTries = 8
+	// doublings bounds how much longer than the first a quick try may take.
+	doublings = 2
 	// timeoutFactor is how many times the usual time of an answer a try may take before its answer counts as lost.
 	timeoutFactor = 5
 	// paceWeight is the weight of the newest answer in the usual time.
@@ -34,5 +39,8 @@
 func (p *pace) timeout(try int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min(mostTimeout, max(leastTimeout, timeoutFactor*p.usual)<<min(try, 4))
+	if try >= quickTries {
+		return mostTimeout
+	}
+	return min(mostTimeout, max(leastTimeout, timeoutFactor*p.usual)<<min(try, doublings))
 }
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -35,10 +35,18 @@
 type Table struct {
 	records map[uint64]record
 	life    time.Duration
+	// limit is the number of crashes after which a request is not run again; at least 1.
+	limit int
 }
 
 // NewTable returns a table that forgets a request after the life time.
-func NewTable(life time.Duration) Table { return Table{life: life} }
+func NewTable(life time.Duration) Table { return Table{life: life, limit: CrashLimit} }
+
+// WithLimit returns a table with another number of crashes after which a request is not run again.
+func (t Table) WithLimit(crashes int) Table {
+	t.limit = crashes
+	return t
+}
 
 // Verdict returns how the request may run.
 func (t Table) Verdict(fingerprint uint64, now time.Time) Verdict {
@@ -46,7 +54,7 @@
 	switch {
 	case !ok || now.Sub(r.last) > t.life:
 		return Clear
-	case len(r.events) >= CrashLimit:
+	case len(r.events) >= t.limit:
 		return Quarantined
 	}
 	return Suspect
@@ -69,10 +77,10 @@
 // WithSuccess returns a table after a suspect ran to its end.
 func (t Table) WithSuccess(fingerprint uint64) Table {
 	r, ok := t.records[fingerprint]
-	if !ok || len(r.events) >= CrashLimit {
+	if !ok || len(r.events) >= t.limit {
 		return t
 	}
-	n := Table{records: maps.Clone(t.records), life: t.life}
+	n := Table{records: maps.Clone(t.records), life: t.life, limit: t.limit}
 	delete(n.records, fingerprint)
 	return n
 }
@@ -100,7 +108,7 @@
 func (t Table) Len() int { return len(t.records) }
 
 func (t Table) fresh(now time.Time) Table {
-	n := Table{records: make(map[uint64]record, len(t.records)+1), life: t.life}
+	n := Table{records: make(map[uint64]record, len(t.records)+1), life: t.life, limit: t.limit}
 	for k, r := range t.records {
 		if now.Sub(r.last) <= t.life {
 			n.records[k] = r
