--- a/internal/cmdl/opcmd/check.go
+++ b/internal/cmdl/opcmd/check.go
@@ -19,6 +19,7 @@
 const (
 	roleEntry   = "entry"
 	roleSidecar = "sidecar"
+	roleGateway = "gateway"
 )
 
 func defaultsOf(role string) (config.Checked, error) {
@@ -27,15 +28,20 @@
 		return config.DefaultEntry(), nil
 	case roleSidecar:
 		return config.DefaultSidecar(), nil
+	case roleGateway:
+		return config.DefaultGateway(), nil
 	}
-	return nil, errors.Mark(errors.Newf("ROLE %q is neither %q nor %q", role, roleEntry, roleSidecar), parse.ErrUsage)
+	return nil, errors.Mark(errors.Newf("ROLE %q is none of %q, %q and %q", role, roleEntry, roleSidecar, roleGateway), parse.ErrUsage)
 }
 
-// roleOf tells the role of a settings file: only sidecars have an upstream.
+// roleOf tells the role of a settings file: only sidecars have an upstream, only gateways a log address.
 func roleOf(file string) string {
 	b, err := os.ReadFile(file)
-	if err == nil && bytes.Contains(b, []byte(`"upstream_url"`)) {
+	switch {
+	case err == nil && bytes.Contains(b, []byte(`"upstream_url"`)):
 		return roleSidecar
+	case err == nil && bytes.Contains(b, []byte(`"log_address"`)):
+		return roleGateway
 	}
 	return roleEntry
 }
@@ -47,7 +53,7 @@
 		Name: "check", Help: "report every fault in a process settings file",
 		Arguments: []parse.Argument{{Name: "FILE", Help: "settings file, JSON with comments", Value: &file}},
 		Flags: func(sc *flaggy.Subcommand) {
-			sc.String(&role, "r", "role", "entry or sidecar; found by the fields if left out")
+			sc.String(&role, "r", "role", "entry, sidecar or gateway; found by the fields if left out")
 		},
 		Run: func(_ context.Context, out io.Writer) error {
 			if role == "" {
--- a/internal/role/gate/rates_test.go
+++ b/internal/role/gate/rates_test.go
@@ -91,7 +91,7 @@
 		begun, ended, requests := play(true)
 		t.Logf("ended %d of %d without a plan, %d of %d with it", naiveEnded, naiveBegun, ended, begun)
 		is.True(ended > 3*naiveEnded)
-		is.True(13*ended > 150*10*4/5) // Four fifths of the rate went into programs that ended.
+		is.True(13*ended > 150*10*4/5)  // Four fifths of the rate went into programs that ended.
 		is.True(requests <= 150*13+150) // Rate times time, and the burst.
 	})
 }
