--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -28,7 +28,7 @@
 	MaxConnections int64 `json:"max_connections"`
 	// StopMS bounds a graceful stop in milliseconds.
 	StopMS int64 `json:"stop_ms"`
-	// LogDebug logs every answered call.
+	// LogDebug logs events of level debug too.
 	LogDebug bool `json:"log_debug"`
 }
 
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -54,6 +54,7 @@
 	readers readers
 	warm    warmth
 	asked   asked
+	sampled sampler
 	crashes *crashes
 	policy  admit.Policy
 	ready   serve.Ready
