--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	// settingsWait is how long one reading of the settings waits for a change.
-	settingsWait = 2 * time.Second
+	// settingsWait is how long one reading of the settings waits for a change. A connection that has gone silent is
+	// noticed only after it.
+	settingsWait = time.Second
 	// upstreamsWait is how long one reading of the announcements waits for the first.
-	upstreamsWait = 2 * time.Second
+	upstreamsWait = 700 * time.Millisecond
 	// upstreamsPause is the time between two readings. Upstreams announce themselves every second or so, and one that
 	// drains must get no new work two seconds later.
 	upstreamsPause = 250 * time.Millisecond
 	// feedSlack is added to the waiting time of a reading for its way; a slow store takes a quarter of a second.
-	feedSlack = 800 * time.Millisecond
+	feedSlack = 600 * time.Millisecond
 	feedPause = 150 * time.Millisecond
 	// outageAfter is how long the announcements may be unread before vanished ones are held.
 	outageAfter = time.Second
