Put the rate of calls that did not run back

Cause: a call takes its token at the gateway it reaches, and many are refused behind it: turns of a runaway program for their budget, turns that do not exist, calls that no upstream took. Change: the wallet reports what was spent at most every 150 ms, and a token that was not reported goes back into its loan. Test: TestRefusedCallsTakeNoRate, TestReturn, TestReturnKeepsTheBurst.

--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -26,6 +26,9 @@
 	// planPatience bounds the wait of a program that begins.
 	planPatience = 150 * time.Millisecond
 	borrowPause  = 30 * time.Millisecond
+	// reportEvery is the least time between two reports of what was spent. Until a token is reported it can be put back,
+	// and most refusals come within some ten milliseconds.
+	reportEvery = 150 * time.Millisecond
 	// loanFloor is the least that is borrowed at a time.
 	loanFloor = 2
 	// planRoom is how much more than a workspace's rate the programs that begin may need together. Not every program
@@ -72,8 +75,8 @@
 	// bucket is the whole rate, of use only while kept is held.
 	bucket rate.Bucket
 	kept   *owner.Partition
-	// answered is when the keeper last answered.
-	answered time.Time
+	// answered is when the keeper last answered, reported when it was last told what was spent.
+	answered, reported time.Time
 	// scarce is when the bucket last had less than a token for a gateway that asked; of use only while kept is held.
 	scarce time.Time
 	// spent counts the tokens that gateways reported as spent, older ones less; of use only while kept is held.
@@ -139,6 +142,17 @@
 	return false
 }
 
+// release puts back the token of a call that did not run.
+func (r *rates) release(w layout.Workspace) {
+	if w.RatePerSecond <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.space(w.Name)
+	s.wallet = s.wallet.Return(1, time.Now())
+}
+
 func (r *rates) space(name string) *space {
 	s, ok := r.spaces[name]
 	if !ok {
@@ -229,7 +243,10 @@
 	if !strings.HasPrefix(w.Name, planPrefix) {
 		q.Tokens = max(loanFloor, s.demand.PerSecond(asked)*borrowAhead.Seconds()+s.waiting-s.wallet.Level(asked))
 	}
-	s.wallet, q.Spent = s.wallet.Report(int64(part))
+	if asked.Sub(s.reported) >= reportEvery {
+		s.reported = asked
+		s.wallet, q.Spent = s.wallet.Report(int64(part))
+	}
 	r.mu.Unlock()
 	var loan rate.Loan
 	var err error
--- a/internal/role/gate/rates_test.go
+++ b/internal/role/gate/rates_test.go
@@ -124,3 +124,31 @@
 		is.True(!k.take(false))
 	})
 }
+
+// TestRefusedCallsTakeNoRate is the pattern of a runaway program: its turns are refused for its budget, many a second,
+// while other programs of the workspace go on.
+func TestRefusedCallsTakeNoRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := newKeeper(50)
+		k.take(false)
+		time.Sleep(time.Second)
+		served := 0
+		for range 100 {
+			s := k.r.space(k.w.Name)
+			w, spent := s.wallet.Report(0)
+			l := k.r.lend(k.part, k.w, borrowRequest{Workspace: k.w.Name, Tokens: 3 - w.Level(time.Now()), Spent: spent}, false)
+			s.wallet = w.WithLoan(l, 0, time.Now())
+			for range 2 {
+				if ok, _ := k.r.take(k.w, true); ok {
+					k.r.release(k.w) // Refused at the program's home.
+				}
+			}
+			if ok, _ := k.r.take(k.w, true); ok {
+				served++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.Equal(served, 100) // As many as the rate holds.
+	})
+}
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -74,6 +74,11 @@
 	if c.ID == "" {
 		return j, g.refuse(fault.InvalidRequest, "admit", "the request has no id")
 	}
+	for _, id := range []string{c.ID, c.Program} {
+		if r := (turns.Ref{Workspace: j.workspace.Name, ID: id}); !r.Fits() {
+			return j, g.refuse(fault.InvalidRequest, "admit", "id %.40q... has %d bytes, which are too many", id, len(id))
+		}
+	}
 	if !time.Now().Before(j.until) {
 		return j, g.refuse(fault.Overloaded, "admit", "the deadline has passed")
 	}
--- a/internal/sched/rate/wallet.go
+++ b/internal/sched/rate/wallet.go
@@ -53,6 +53,23 @@
 	return w, true
 }
 
+// Return puts back up to n tokens that were taken and not used. Those that were reported as spent, or whose loan has
+// expired, are lost.
+func (w Wallet) Return(n float64, now time.Time) Wallet {
+	w.loans = slices.Clone(w.loans)
+	for i := range w.loans {
+		l := &w.loans[i]
+		if !now.Before(l.expires) {
+			continue
+		}
+		back := min(n, l.spent)
+		n -= back
+		l.spent -= back
+		l.Tokens += back
+	}
+	return w
+}
+
 // Report returns what was spent of the owner's loans since the last report, and a wallet that has reported it.
 func (w Wallet) Report(owner int64) (Wallet, []Spend) {
 	var out []Spend
--- /dev/null
+++ b/internal/sched/rate/wallet_test.go
@@ -0,0 +1,77 @@
+package rate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// TestReturn puts tokens back that were taken for requests which did not run.
+func TestReturn(t *testing.T) {
+	tests := []struct {
+		name string
+		// taken tokens of five are taken, then reported if report is set, and back are put back later.
+		taken, back float64
+		report      bool
+		later       time.Duration
+		level       float64
+		spent       float64
+	}{
+		{name: "one of two", taken: 2, back: 1, level: 4, spent: 1},
+		{name: "never more than were taken", taken: 2, back: 9, level: 5},
+		{name: "none that was reported", taken: 2, back: 1, report: true, level: 3},
+		{name: "none of a loan that expired", taken: 2, back: 1, later: LoanLife, spent: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w, ok := Wallet{}.WithLoan(Loan{ID: 1, Tokens: 5}, 7, noon).Take(tt.taken, noon)
+			is.True(ok)
+			if tt.report {
+				w, _ = w.Report(7)
+			}
+			now := noon.Add(tt.later)
+			w = w.Return(tt.back, now)
+			is.Equal(w.Level(now), tt.level)
+			_, spends := w.Report(7)
+			sum := 0.0
+			for _, s := range spends {
+				sum += s.Tokens
+			}
+			is.Equal(sum, tt.spent)
+		})
+	}
+}
+
+// TestReturnKeepsTheBurst is the pattern of a workspace whose requests are refused behind the limiter all the time:
+// tokens go round, and no more than the burst and the rate are ever spent.
+func TestReturnKeepsTheBurst(t *testing.T) {
+	is := is.New(t)
+	q := Quota{Rate: 10, Burst: 10}
+	b, w := NewBucket(q.Burst, noon), Wallet{}
+	ran := 0
+	for ms := range 5000 {
+		now := noon.Add(time.Duration(ms) * time.Millisecond)
+		if ms%30 == 0 {
+			var spends []Spend
+			w, spends = w.Report(1)
+			var l Loan
+			b, l = b.Refill(q, now).Release(spends).Lend(2, now)
+			w = w.WithLoan(l, 1, now)
+		}
+		var ok bool
+		if w, ok = w.Take(1, now); !ok {
+			continue
+		}
+		if ms%3 == 0 {
+			ran++
+			continue
+		}
+		w = w.Return(1, now)
+	}
+	is.True(ran <= 10+5*10)
+	is.True(ran >= 5*10-5) // Refusals cost next to nothing of the rate.
+}
