Take turns before a partition is read whole

Cause: after a final fault partitions were opened 0.35 to 1.1 s after the start; a page of 1 MB takes 0.12 to 0.6 s on its way (store windows), while the store and the decoding take 40 ms. Ruled out: the decoding (20 ms a page), the fence (30 ms), compression (texts do not compress: 861 to 845 kB). Change: pages are decoded as they arrive. Keys put accounts before turns, and newer turns before older ones, so a partition takes turns once its accounts are known; a turn whose chain may still be unread waits for it, and 404 needs the whole partition.

--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -50,11 +50,14 @@
 	Member     string         `json:"member,omitempty"`
 	Generation int64          `json:"generation"`
 	TTLMS      int64          `json:"ttl_ms"`
+	// take receives the records of a page as they arrive, if the call is made here.
+	take func(store.Record)
 }
 
 // storeAnswer is what the store said to the peer.
 type storeAnswer struct {
 	Page       store.Page       `json:"page"`
+	Records    []store.Record   `json:"records,omitempty"`
 	Batch      store.Batch      `json:"batch"`
 	Assignment store.Assignment `json:"assignment"`
 	Owners     []store.Owner    `json:"owners,omitempty"`
@@ -82,7 +85,11 @@
 	case "append":
 		err = s.Append(ctx, q.Partition, q.Fence, q.Records)
 	case "newest":
-		a.Page, err = s.Newest(ctx, q.Partition, q.After)
+		take := q.take
+		if take == nil {
+			take = func(r store.Record) { a.Records = append(a.Records, r) }
+		}
+		a.Page, err = s.Newest(ctx, q.Partition, q.After, take)
 	case "snapshot":
 		a.Batch, err = s.Snapshot(ctx, q.Feed)
 	case "follow":
@@ -194,8 +201,11 @@
 }
 
 // Newest implements store.Log.
-func (d *detour) Newest(ctx context.Context, partition int, after string) (store.Page, error) {
-	a, err := d.try(ctx, storeRequest{Call: "newest", Partition: partition, After: after})
+func (d *detour) Newest(ctx context.Context, partition int, after string, take func(store.Record)) (store.Page, error) {
+	a, err := d.try(ctx, storeRequest{Call: "newest", Partition: partition, After: after, take: take})
+	for _, r := range a.Records {
+		take(r)
+	}
 	return a.Page, err
 }
 
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -95,6 +95,11 @@
 	}
 	var err error
 	t.begun, err = t.part.Begin(q.claim(), previous, time.Now())
+	if errors.Is(err, owner.ErrReading) {
+		if err = t.awaitChain(ctx, previous); err == nil {
+			t.begun, err = t.part.Begin(q.claim(), previous, time.Now())
+		}
+	}
 	if errors.Is(err, turns.ErrUnknown) {
 		if f := g.importChain(ctx, t.part, previous); f != nil {
 			return f
@@ -115,6 +120,13 @@
 	return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(retrySoon)
 }
 
+// awaitChain waits while the partition is read after it changed hands.
+func (t *turnRun) awaitChain(ctx context.Context, previous turns.Ref) error {
+	ctx, cancel := context.WithTimeout(ctx, homePatience)
+	defer cancel()
+	return t.part.AwaitChain(ctx, previous)
+}
+
 // admit refuses a program that would begin while the engines are full.
 func (t *turnRun) admit(now time.Time) *fault.Fault {
 	g, q := t.gate, t.turnRequest
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -7,6 +7,7 @@
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/state/layout"
+	"galenaward.example/galenaward/internal/state/turns"
 )
 
 const (
@@ -47,6 +48,9 @@
 	default:
 		f = g.servePlain(ctx, j, w)
 	}
+	if f != nil && f.Outcome == fault.NotRun {
+		g.rates.release(j.workspace)
+	}
 	g.finish(c, j, f, began)
 	return f
 }
--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -18,51 +18,17 @@
 	appendPause = 20 * time.Millisecond
 	// fenceTries is the number of tries to fence former holders before the partition is opened anew.
 	fenceTries = 4
-	// loadTimeout bounds the reading of one page.
-	loadTimeout = 2 * time.Second
 )
 
-// open fences former holders and reads the partition.
-func (p *Partition) open(ctx context.Context) error {
-	if err := p.fence(ctx); err != nil {
-		return errors.Wrapf(err, "fence partition %d at epoch %d", p.id, p.epoch)
-	}
-	after, records := "", 0
-	for {
-		page, err := p.newest(ctx, after)
-		if err != nil {
-			return errors.Wrapf(err, "read partition %d behind %q", p.id, after)
-		}
-		records += len(page.Records)
-		for _, r := range page.Records {
-			if err := p.ledger.Restore(r); err != nil {
-				p.note("record_skipped", "partition", p.id, "key", r.Key, "cause", err)
-			}
-		}
-		if after = page.After; after == "" {
-			break
-		}
-	}
-	p.ledger.Restored()
-	p.fresh = records == 0
-	p.note("partition_opened", "partition", p.id, "epoch", p.epoch, "records", records)
-	return nil
-}
-
+// fence ends the writing of former holders.
 func (p *Partition) fence(ctx context.Context) error {
 	var err error
 	for n := range fenceTries {
 		if err = p.try(ctx, nil, n); err == nil || errors.Is(err, store.ErrFenced) || ctx.Err() != nil {
-			return err
+			break
 		}
 	}
-	return err
-}
-
-func (p *Partition) newest(ctx context.Context, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	return p.log.Newest(ctx, p.id, after)
+	return errors.Wrapf(err, "fence partition %d at epoch %d", p.id, p.epoch)
 }
 
 // run appends what is queued until ctx ends or the partition is lost.
--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -85,7 +85,7 @@
 	o.mu.Unlock()
 	o.group.Go(func(context.Context) error {
 		defer end()
-		p := o.open(ctx, id, epoch)
+		p := o.fence(ctx, id, epoch)
 		if p == nil {
 			o.mu.Lock()
 			if ctx.Err() == nil {
@@ -94,21 +94,32 @@
 			o.mu.Unlock()
 			return nil
 		}
+		o.group.Go(func(context.Context) error {
+			p.read(ctx, func() { o.hold(p) })
+			return nil
+		})
 		err := p.run(ctx)
 		o.drop(p, errors.Wrapf(ErrMoved, "partition %d", id))
 		return err
 	})
 }
 
-// open returns the partition once it is read, or nil if it is held elsewhere.
-func (o *Owner) open(ctx context.Context, id int, epoch int64) *Partition {
+// hold takes turns for the partition from now on, unless it was lost before.
+func (o *Owner) hold(p *Partition) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p.isLost() {
+		return
+	}
+	o.held[p.id] = p
+}
+
+// fence returns the partition once no former holder can write to it, or nil if it is held elsewhere.
+func (o *Owner) fence(ctx context.Context, id int, epoch int64) *Partition {
 	for ctx.Err() == nil {
 		p := newPartition(id, epoch, o.backing, &o.pace, o.note)
-		err := p.open(ctx)
+		err := p.fence(ctx)
 		if err == nil {
-			o.mu.Lock()
-			o.held[id] = p
-			o.mu.Unlock()
 			return p
 		}
 		o.note("partition_not_opened", "partition", id, "epoch", epoch, "cause", err)
--- a/internal/role/owner/fake_test.go
+++ b/internal/role/owner/fake_test.go
@@ -24,6 +24,9 @@
 	// down makes every call fail without effect; lose makes appends take effect and lose their answer.
 	down, lose bool
 	appends    int
+	// stall stops the reading of newest records after so many; zero for none. Resume is closed to go on.
+	stall  int
+	resume chan struct{}
 }
 
 type fakePart struct {
@@ -85,7 +88,7 @@
 	return nil
 }
 
-func (f *fake) Newest(_ context.Context, id int, after string) (store.Page, error) {
+func (f *fake) Newest(_ context.Context, id int, after string, take func(store.Record)) (store.Page, error) {
 	const pageRecords = 3
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,7 +104,7 @@
 	slices.Sort(keys)
 	var pg store.Page
 	for _, k := range keys[:min(pageRecords, len(keys))] {
-		pg.Records = append(pg.Records, store.Record{Key: k, Value: f.part(id).newest[k]})
+		f.taken(take, store.Record{Key: k, Value: f.part(id).newest[k]})
 		if len(keys) > pageRecords {
 			pg.After = k
 		}
@@ -109,6 +112,21 @@
 	return pg, nil
 }
 
+// taken hands one record over, without the lock. The caller holds it.
+func (f *fake) taken(take func(store.Record), r store.Record) {
+	resume := f.resume
+	stalls := f.stall == 1
+	if f.stall > 0 {
+		f.stall--
+	}
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	if stalls {
+		<-resume
+	}
+	take(r)
+}
+
 func (f *fake) Join(_ context.Context, member string, _ int64, _ time.Duration) (store.Assignment, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -103,7 +103,8 @@
 
 		b := New(a.group, f, 1, "127.0.0.1:8")
 		next := newPartition(0, 99, f, &b.pace, b.note)
-		is.NoErr(next.open(t.Context()))
+		is.NoErr(next.fence(t.Context()))
+		next.read(t.Context(), func() {})
 
 		ticket, err := old.Finish(begun, turnOf("late", ""), 50, time.Now())
 		is.NoErr(err)
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -47,7 +47,10 @@
 	// closing refuses turns that begin, before the partition is handed over.
 	closing bool
 	active  int
-	// fresh says that the partition held nothing when it was opened.
+	// open says that all accounts are known, whole that everything has been read; whole implies open. Neither is ever
+	// cleared.
+	open, whole bool
+	// fresh says that the partition held nothing when it was read.
 	fresh bool
 	// programTickets holds the group that must be confirmed before a program's tokens may be handed out.
 	programTickets map[turns.Ref]int64
@@ -83,7 +86,7 @@
 	if p.detached(now) {
 		return Begun{}, errors.Wrapf(ErrDetached, "partition %d for %s", p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
 	}
-	chain, err := p.ledger.Chain(previous)
+	chain, err := p.chain(previous)
 	if err != nil {
 		return Begun{}, err
 	}
@@ -140,7 +143,7 @@
 	if p.lost != nil {
 		return nil, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	return p.ledger.Chain(ref)
+	return p.chain(ref)
 }
 
 // Knows reports whether the program has begun a turn here.
@@ -153,6 +156,9 @@
 // Certain returns the chain like Chain. If the turn is unknown, it first lets the store confirm that no other process
 // holds the partition: no end of a turn is told before its record is, so the turn then does not exist.
 func (p *Partition) Certain(ctx context.Context, ref turns.Ref) ([]turns.Turn, error) {
+	if err := p.AwaitChain(ctx, ref); err != nil {
+		return nil, err
+	}
 	chain, err := p.Chain(ref)
 	if !errors.Is(err, turns.ErrUnknown) {
 		return chain, err
@@ -166,8 +172,12 @@
 	return p.Chain(ref)
 }
 
-// Fresh reports whether the partition held nothing when it was opened.
-func (p *Partition) Fresh() bool { return p.fresh }
+// Fresh reports whether the partition is known to have held nothing when it was opened.
+func (p *Partition) Fresh() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fresh
+}
 
 // push queues a group of records and returns its ticket.
 func (p *Partition) push(recs []store.Record, now time.Time) int64 {
@@ -189,9 +199,15 @@
 
 // Await returns nil when the group with the ticket is confirmed, and ErrMoved when the partition is lost before.
 func (p *Partition) Await(ctx context.Context, ticket int64) error {
+	return p.await(ctx, func() bool { return p.confirmed >= ticket })
+}
+
+// await returns nil when the condition holds, which is asked under the lock, and ErrMoved when the partition is lost
+// before.
+func (p *Partition) await(ctx context.Context, condition func() bool) error {
 	for {
 		p.mu.Lock()
-		done, lost, changed := p.confirmed >= ticket, p.lost, p.changed
+		done, lost, changed := condition(), p.lost, p.changed
 		p.mu.Unlock()
 		switch {
 		case done:
@@ -225,6 +241,12 @@
 	p.note("partition_lost", "partition", p.id, "epoch", p.epoch, "unconfirmed", p.asked-p.confirmed, "cause", cause)
 }
 
+func (p *Partition) isLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost != nil
+}
+
 // close refuses new turns and reports whether none is under way and all is confirmed.
 func (p *Partition) close() bool {
 	p.mu.Lock()
@@ -237,7 +259,7 @@
 func (p *Partition) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lost != nil {
+	if p.lost != nil || !p.whole {
 		return
 	}
 	if recs := p.ledger.Expire(now); len(recs) > 0 {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -35,9 +35,9 @@
 	Sequence int64
 }
 
-// Page is a part of the newest records of a partition. Pages that are read one after another are no snapshot.
+// Page is a part of the newest records of a partition, whose records were handed to the reader as they arrived. Pages
+// that are read one after another are no snapshot.
 type Page struct {
-	Records []Record
 	// After is the key to go on behind; empty on the last page.
 	After string
 	// End is the offset behind the newest record.
@@ -78,8 +78,9 @@
 type Log interface {
 	// Append writes the records all or none. No records only set the epoch.
 	Append(ctx context.Context, partition int, f Fence, records []Record) error
-	// Newest returns the newest record of each key behind the key after.
-	Newest(ctx context.Context, partition int, after string) (Page, error)
+	// Newest hands the newest record of each key behind the key after to take, in the order of keys. After an error, some
+	// records of the page may have been taken.
+	Newest(ctx context.Context, partition int, after string, take func(Record)) (Page, error)
 }
 
 // Feeds reads what operators and upstreams publish.
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -166,7 +166,8 @@
 	return append(out, input...)
 }
 
-// Restore takes a record that an earlier holder of the partition wrote.
+// Restore takes a record that an earlier holder of the partition wrote. What is known already stays as it is, so that
+// turns may run before all records are restored; all accounts must be before the first turn.
 func (l *Ledger) Restore(r store.Record) error {
 	kind, ref, err := parseKey(r.Key)
 	if err != nil {
@@ -180,13 +181,18 @@
 		if err != nil {
 			return errors.Wrapf(err, "account of program %q", ref.ID)
 		}
-		l.programs[ref] = p
+		if _, known := l.programs[ref]; !known {
+			l.programs[ref] = p
+		}
 		return nil
 	}
 	t, err := decodeTurn(ref, r.Value)
 	if err != nil {
 		return errors.Wrapf(err, "turn %q", ref.ID)
 	}
+	if _, known := l.turns[ref]; known {
+		return nil
+	}
 	l.turns[ref] = t
 	l.until[ref] = max(l.until[ref], t.Until)
 	return nil
@@ -212,15 +218,15 @@
 	at := now.UnixMilli()
 	for ref, until := range l.until {
 		if until < at {
+			out = append(out, store.Record{Key: turnKey(l.turns[ref])})
 			delete(l.until, ref)
 			delete(l.turns, ref)
-			out = append(out, store.Record{Key: key(turnKind, ref)})
 		}
 	}
 	for ref, p := range l.programs {
 		if p.Until < at && p.Reserved == 0 {
 			delete(l.programs, ref)
-			out = append(out, store.Record{Key: key(programKind, ref)})
+			out = append(out, store.Record{Key: programKey(ref)})
 		}
 	}
 	return out
--- a/internal/state/turns/ledger_test.go
+++ b/internal/state/turns/ledger_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -193,7 +195,7 @@
 		{"strange kind", store.Record{Key: "q/shop/a", Value: []byte{1}}},
 		{"account that is no JSON", store.Record{Key: "p/shop/p1", Value: []byte("{")}},
 		{"turn cut short", store.Record{Key: good.Key, Value: good.Value[:5]}},
-		{"turn under another key", store.Record{Key: "t/shop/b", Value: good.Value}},
+		{"turn under another key", store.Record{Key: turnKey(turn("b", "", "", "")), Value: good.Value}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -229,3 +231,61 @@
 	is.NoErr(err)
 	is.Equal(len(chain), 1)
 }
+
+// TestRecordsAreReadInTheOrderOfUse checks the order of keys: accounts come first, then newer turns before older ones.
+func TestRecordsAreReadInTheOrderOfUse(t *testing.T) {
+	is := is.New(t)
+	older, newer := turn("z", "", "1", "x\n"), turn("a", "z", "2", "y\n")
+	newer.Until = older.Until + 1
+	recs := []store.Record{
+		turnRecord(older), turnRecord(newer), programRecord(Ref{"zoo", "p"}, Program{Ceiling: 1}), Marker(),
+	}
+	slices.SortFunc(recs, func(a, b store.Record) int { return strings.Compare(a.Key, b.Key) })
+	var ids []string
+	for _, r := range recs {
+		_, ref, err := parseKey(r.Key)
+		is.NoErr(err)
+		ids = append(ids, ref.ID)
+	}
+	is.Equal(ids, []string{"", "p", "a", "z"})
+}
+
+// TestRestoreLeavesNewerStateAlone restores records while turns already run.
+func TestRestoreLeavesNewerStateAlone(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	c := claim(300, 100)
+	old := programRecord(c.Program, Program{Ceiling: 100, Until: start.UnixMilli()})
+	is.NoErr(l.Restore(old))
+	_, err := l.Reserve(c, start)
+	is.NoErr(err)
+	is.NoErr(l.Restore(old)) // A page that broke off is read again.
+	_, err = l.Reserve(c, start)
+	is.NoErr(err)
+	_, err = l.Reserve(c, start)
+	is.True(errors.Is(err, ErrBudget))
+}
+
+func TestNamesTooLongForAKey(t *testing.T) {
+	tests := []struct {
+		name string
+		ref  Ref
+		fits bool
+	}{
+		{"usual", Ref{"shop", "9c41d07be2a35f68"}, true},
+		{"longest", Ref{"shop", strings.Repeat("x", maxName-5)}, true},
+		{"one more", Ref{"shop", strings.Repeat("x", maxName-4)}, false},
+		{"workspace that grows when it is escaped", Ref{strings.Repeat("/", 70), "a"}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.ref.Fits(), tt.fits)
+			tn := turn(tt.ref.ID, "", "", "")
+			tn.Ref = tt.ref
+			if tt.fits {
+				is.True(len(turnKey(tn)) <= 255)
+			}
+		})
+	}
+}
--- a/internal/state/turns/record.go
+++ b/internal/state/turns/record.go
@@ -3,8 +3,9 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
+	"math"
 	"net/url"
-	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -12,10 +13,11 @@
 	"galenaward.example/galenaward/internal/state/store"
 )
 
+// The kinds of records, in the order in which a partition is read.
 const (
-	turnKind    = "t"
-	programKind = "p"
 	markerKind  = "m"
+	programKind = "p"
+	turnKind    = "t"
 )
 
 var errRecord = errors.New("record is damaged")
@@ -26,29 +28,54 @@
 	Until   int64 `json:"until"`
 }
 
-func key(kind string, r Ref) string { return kind + "/" + url.PathEscape(r.Workspace) + "/" + r.ID }
+// maxName bounds a workspace's name and an id together, so that every key fits the store's 255 bytes.
+const maxName = 200
+
+// Fits reports whether records of the turn or program can be kept.
+func (r Ref) Fits() bool { return len(r.name()) <= maxName }
+
+func (r Ref) name() string { return url.PathEscape(r.Workspace) + "/" + r.ID }
+
+func programKey(r Ref) string { return programKind + "/" + r.name() }
+
+// turnKey orders turns that are kept longer, and so are newer, before others.
+func turnKey(t Turn) string {
+	return fmt.Sprintf("%s/%016x/%s", turnKind, uint64(math.MaxInt64-t.Until), t.name())
+}
+
+// IsTurn reports whether the record is of a turn.
+func IsTurn(r store.Record) bool { return strings.HasPrefix(r.Key, turnKind+"/") }
 
 func parseKey(k string) (kind string, r Ref, err error) {
-	parts := strings.SplitN(k, "/", 3)
-	if len(parts) != 3 || !slices.Contains([]string{turnKind, programKind, markerKind}, parts[0]) {
+	kind, rest, _ := strings.Cut(k, "/")
+	switch kind {
+	case markerKind:
+		return kind, Ref{}, nil
+	case turnKind:
+		_, rest, _ = strings.Cut(rest, "/")
+	case programKind:
+	default:
 		return "", Ref{}, errors.Wrapf(errRecord, "key %q", k)
 	}
-	workspace, err := url.PathUnescape(parts[1])
-	if err != nil {
+	workspace, id, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", Ref{}, errors.Wrapf(errRecord, "key %q", k)
+	}
+	if workspace, err = url.PathUnescape(workspace); err != nil {
 		return "", Ref{}, errors.Wrapf(err, "key %q", k)
 	}
-	return parts[0], Ref{workspace, parts[2]}, nil
+	return kind, Ref{workspace, id}, nil
 }
 
 // Marker returns a record that changes nothing; it shows who may append.
-func Marker() store.Record { return store.Record{Key: markerKind + "//", Value: []byte{1}} }
+func Marker() store.Record { return store.Record{Key: markerKind, Value: []byte{1}} }
 
 func programRecord(r Ref, p Program) store.Record {
 	v, err := json.Marshal(account{Ceiling: p.Ceiling, Until: p.Until})
 	if err != nil {
 		panic(err) // A struct of two integers.
 	}
-	return store.Record{Key: key(programKind, r), Value: v}
+	return store.Record{Key: programKey(r), Value: v}
 }
 
 func decodeProgram(b []byte) (Program, error) {
@@ -69,7 +96,7 @@
 	v = append(v, meta...)
 	v = binary.AppendUvarint(v, uint64(len(t.Input)))
 	v = append(append(v, t.Input...), t.Output...)
-	return store.Record{Key: key(turnKind, t.Ref), Value: v}
+	return store.Record{Key: turnKey(t), Value: v}
 }
 
 func decodeTurn(r Ref, b []byte) (Turn, error) {
