Begin no program of a workspace while those under way lack rate

Change: no program begins within 200 ms of a lack of tokens; the plan's room goes from 1.15 to 1.3, as it need not hold everything off by itself. Test: TestNoProgramBeginsWhileTokensAreScarce.

--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -33,12 +33,14 @@
 	loanFloor = 2
 	// planRoom is how much more than a workspace's rate the programs that begin may need together. Not every program
 	// takes what it is expected to.
-	planRoom = 1.15
+	planRoom = 1.3
 	// firstExpected is the number of requests that a program is taken to need before any was seen, and counts as much
 	// as firstPrograms programs.
 	firstExpected, firstPrograms = 10, 10
 	// rememberedPrograms is the number of programs after which what was learned counts half.
 	rememberedPrograms = 200
+	// scarcePause is how long after a lack of tokens no program begins. Gateways that lack tokens ask every 30 ms.
+	scarcePause = 200 * time.Millisecond
 	// scarceTime is how long after a lack of tokens nothing is learned about programs; most end within it.
 	scarceTime = 5 * time.Second
 	// plentyLevel is the part of its burst above which a workspace's programs begin whatever the plan says.
@@ -323,6 +325,9 @@
 			s.bucket = s.bucket.Raised(q.Tokens)
 		}
 	}
+	if plan && now.Sub(whole.scarce) < scarcePause {
+		return rate.Loan{} // Programs under way already lack tokens, so the plan expected too little of them.
+	}
 	b, loan := s.bucket.Release(q.Spent).Lend(q.Tokens, now)
 	s.bucket = b
 	if !plan && loan.Tokens < min(1, q.Tokens) {
--- a/internal/role/gate/rates_test.go
+++ b/internal/role/gate/rates_test.go
@@ -96,6 +96,26 @@
 	})
 }
 
+// TestNoProgramBeginsWhileTokensAreScarce is the pattern of a hot workspace whose programs need more requests than those
+// that the keeper has seen: new ones wait while those under way lack tokens.
+func TestNoProgramBeginsWhileTokensAreScarce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := newKeeper(50)
+		k.take(false)
+		time.Sleep(time.Second)
+		is.True(k.take(true))
+		for k.take(false) {
+		}
+		time.Sleep(100 * time.Millisecond) // Five tokens more.
+		is.True(!k.take(true))
+		for k.take(false) {
+		}
+		time.Sleep(scarcePause)
+		is.True(k.take(true))
+	})
+}
+
 // TestUsualWorkspace sends what its rate holds; no program may be refused once the first second has passed.
 func TestUsualWorkspace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
