Give partitions up while cut off from the store

Change: a process whose direct calls fail four times in a row, while a peer makes them, hands its partitions over and leaves the group until the store answers it again; it goes on taking calls. Calls through peers go to the one that reached the store last. While the store is down for all, nothing changes. Tests: TestCutProcessGivesItsPartitionsUp, TestCut.

--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	directEvery = 700 * time.Millisecond
 	// maxDetours bounds the peers that are asked for one call.
 	maxDetours = 2
+	// cutAfter is how many direct calls in a row must fail, while peers reach the store, before this process counts as
+	// cut off from it. Lost answers of a store that is in reach come alone, or two in a row.
+	cutAfter = 4
 )
 
 // detour is a store that a part of the fleet may fail to reach: calls that the store turns away from here are made
@@ -27,14 +31,19 @@
 	peers     *peerClient
 	addresses func() []string
 	note      func(event string, kv ...any)
+	// every is the time between two tries of the direct way while it fails.
+	every time.Duration
 
 	mu       sync.Mutex
 	failures int
 	tried    time.Time
+	// good is the peer that reached the store last, goodAt the number of failures then.
+	good   string
+	goodAt int
 }
 
 func newDetour(direct store.Store, p *peerClient, addresses func() []string, note func(string, ...any)) *detour {
-	return &detour{Store: direct, peers: p, addresses: addresses, note: note}
+	return &detour{Store: direct, peers: p, addresses: addresses, note: note, every: directEvery}
 }
 
 // storeRequest is a call of the store that a peer is asked to make.
@@ -134,11 +143,10 @@
 	if !d.failing() {
 		return a, err
 	}
-	addresses := d.addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(maxDetours, len(addresses))] {
+	for _, address := range d.ways() {
 		b, perr := ask[storeAnswer](ctx, d.peers, address, storePath, q)
 		if perr == nil && definite(b.err()) {
+			d.reached(address)
 			return b, b.err()
 		}
 		if ctx.Err() != nil {
@@ -148,11 +156,36 @@
 	return a, err
 }
 
+// ways returns the peers to ask, the one that reached the store last before others.
+func (d *detour) ways() []string {
+	addresses := d.addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if i := slices.Index(addresses, d.good); i > 0 {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
+	return addresses[:min(maxDetours, len(addresses))]
+}
+
+func (d *detour) reached(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.good, d.goodAt = address, d.failures
+}
+
+// Cut reports whether peers reach the store and this process does not.
+func (d *detour) Cut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failures >= cutAfter && d.goodAt >= detourAfter
+}
+
 // direct reports whether the call should be tried without peers.
 func (d *detour) direct() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.failures < detourAfter || time.Since(d.tried) > directEvery {
+	if d.failures < detourAfter || time.Since(d.tried) > d.every {
 		d.tried = time.Now()
 		return true
 	}
@@ -176,7 +209,7 @@
 		d.note("store_detour", "failures", d.failures+1)
 	}
 	if ok {
-		d.failures = 0
+		d.failures, d.goodAt = 0, 0
 		return
 	}
 	d.failures++
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -86,9 +86,9 @@
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
-	gt.store = newDetour(d.Store, gt.peers, gt.peerAddresses, gt.note)
-	gt.owner = owner.New(g, gt.store, int(s.Partitions), s.ListenPeers,
-		owner.WithNote(gt.note))
+	way := newDetour(d.Store, gt.peers, gt.peerAddresses, gt.note)
+	gt.store = way
+	gt.owner = owner.New(g, way, int(s.Partitions), s.ListenPeers, owner.WithNote(gt.note), owner.WithCut(way.Cut))
 	gt.rates = newRates(gt)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -58,6 +58,7 @@
 	partitions int
 	member     string
 	note       func(event string, kv ...any)
+	cut        func() bool
 	group      *group.Group
 
 	mu         sync.Mutex
@@ -69,6 +70,9 @@
 	members map[int]string
 	looked  time.Time
 	leaving bool
+	// withdrawn says that the membership was given up because this process is cut off from the store. Only the loop of
+	// Run changes it.
+	withdrawn bool
 	// expelled is when a member's end was last told to the store.
 	expelled map[string]time.Time
 
@@ -85,12 +89,16 @@
 // WithNote sets the function that logs what the owner does.
 func WithNote(f func(event string, kv ...any)) Option { return func(o *Owner) { o.note = f } }
 
+// WithCut sets the function that tells whether peers reach the store and this process does not. Such a process gives its
+// partitions to others.
+func WithCut(f func() bool) Option { return func(o *Owner) { o.cut = f } }
+
 // New returns an owner of no partitions. The address is where peers reach this process.
 func New(g *group.Group, b Backing, partitions int, address string, opts ...Option) *Owner {
 	o := &Owner{
 		backing: b, partitions: partitions, group: g,
 		member: address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
-		note:   func(string, ...any) {}, held: make(map[int]*Partition),
+		note:   func(string, ...any) {}, cut: func() bool { return false }, held: make(map[int]*Partition),
 		ending: make(map[int]context.CancelFunc), members: make(map[int]string),
 		expelled: make(map[string]time.Time), poked: make(chan struct{}, 1),
 	}
@@ -167,6 +175,10 @@
 	defer expire.Stop()
 	rounds := settleRounds
 	beat := func() {
+		if o.keepOut(ctx) {
+			next.Reset(joinEvery)
+			return
+		}
 		if o.heartbeat(ctx) {
 			rounds = settleRounds
 		}
@@ -253,11 +265,33 @@
 	return true
 }
 
+// keepOut ends the membership of a process that is cut off from the store, and reports whether it stays out. It follows
+// who holds the partitions through its peers.
+func (o *Owner) keepOut(ctx context.Context) bool {
+	cut := o.cut()
+	switch {
+	case cut && !o.withdrawn:
+		o.note("withdrawn", "member", o.member)
+		o.release(ctx)
+	case !cut && o.withdrawn:
+		o.note("returned", "member", o.member)
+	case cut:
+		o.look(ctx)
+	}
+	o.withdrawn = cut
+	return cut
+}
+
 // Leave hands all partitions over and ends the membership.
 func (o *Owner) Leave(ctx context.Context) {
 	o.mu.Lock()
 	o.leaving = true
 	o.mu.Unlock()
+	o.release(ctx)
+}
+
+// release hands all partitions over and tells the store.
+func (o *Owner) release(ctx context.Context) {
 	o.handOver(ctx, o.AllHeld())
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,10 +23,10 @@
 	stop func()
 }
 
-func begin(f *fake, address string) *process {
+func begin(f *fake, address string, opts ...Option) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := group.New(ctx)
-	o := New(g, f, f.partitions, address)
+	o := New(g, f, f.partitions, address, opts...)
 	g.Go(o.Run)
 	return &process{Owner: o, stop: func() {
 		cancel()
@@ -234,3 +235,32 @@
 	is.Equal(p.timeout(0), leastTimeout)
 	is.Equal(p.timeout(1), 2*leastTimeout)
 }
+
+// TestCutProcessGivesItsPartitionsUp is the pattern of days on which some machines are cut off from the store: calls
+// through peers are slow, so others hold the partitions until the machine reaches the store again.
+func TestCutProcessGivesItsPartitionsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake(4)
+		var cut atomic.Bool
+		a := begin(f, address, WithCut(cut.Load))
+		defer a.stop()
+		b := begin(f, "127.0.0.1:8")
+		defer b.stop()
+		time.Sleep(time.Second)
+		is.Equal(len(a.AllHeld()), 2)
+
+		cut.Store(true)
+		time.Sleep(time.Second)
+		is.Equal(len(a.AllHeld()), 0)
+		is.Equal(len(b.AllHeld()), 4)
+		holder, self, ok := a.AddressOf(0)
+		is.True(ok && !self)
+		is.Equal(holder, "127.0.0.1:8") // It still knows where to send turns.
+		is.True(a.Joined())
+
+		cut.Store(false)
+		time.Sleep(time.Second)
+		is.Equal(len(a.AllHeld()), 2)
+	})
+}
