--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -22,6 +22,9 @@
 	// cutAfter is how many direct calls in a row must fail, while peers reach the store, before this process counts as
 	// cut off from it. Lost answers of a store that is in reach come alone, or two in a row.
 	cutAfter = 4
+	// failingWait bounds how long a reading of a feed waits for records while the direct way fails, since its answer
+	// shows that the way is good again.
+	failingWait = 100 * time.Millisecond
 )
 
 // detour is a store that a part of the fleet may fail to reach: calls that the store turns away from here are made
@@ -133,6 +136,9 @@
 	var a storeAnswer
 	err := errors.Wrap(store.ErrRefused, "the direct way fails")
 	if d.direct() {
+		if d.failing() {
+			q.WaitMS = min(q.WaitMS, failingWait.Milliseconds())
+		}
 		a = runStore(ctx, d.Store, q)
 		err = a.err()
 		d.count(definite(err))
--- a/internal/role/owner/pace.go
+++ b/internal/role/owner/pace.go
@@ -10,9 +10,10 @@
 	leastTimeout = 100 * time.Millisecond
 	// mostTimeout bounds one try.
 	mostTimeout = 1500 * time.Millisecond
-	// quickTries is the number of tries that are given up early, so that the end of an outage is noticed soon. A store
-	// that has turned very slow is given more time after them.
+	// quickTries is the number of tries that are given up early, so that the end of an outage is noticed soon. After
+	// them every longEvery-th try gives a store that has turned very slow more time.
 	quickTries = 8
+	longEvery  = 4
 	// doublings bounds how much longer than the first a quick try may take.
 	doublings = 2
 	// timeoutFactor is how many times the usual time of an answer a try may take before its answer counts as lost.
@@ -39,7 +40,7 @@
 func (p *pace) timeout(try int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if try >= quickTries {
+	if try >= quickTries && try%longEvery == 0 {
 		return mostTimeout
 	}
 	return min(mostTimeout, max(leastTimeout, timeoutFactor*p.usual)<<min(try, doublings))
--- /dev/null
+++ b/internal/role/owner/pace_test.go
@@ -0,0 +1,37 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPaceGivesUpEarlyAndNowAndThenWaits is the pattern of an outage: its end is noticed soon, and a store that has turned
+// very slow gets an answer through all the same.
+func TestPaceGivesUpEarlyAndNowAndThenWaits(t *testing.T) {
+	is := is.New(t)
+	var p pace
+	p.answered(4 * time.Millisecond)
+	long := 0
+	for try := range 40 {
+		d := p.timeout(try)
+		if d == mostTimeout {
+			long++
+			continue
+		}
+		is.True(d <= 400*time.Millisecond)
+	}
+	is.Equal(long, (40-quickTries)/longEvery)
+	is.Equal(p.timeout(0), leastTimeout)
+}
+
+func TestPaceFollowsASlowStore(t *testing.T) {
+	is := is.New(t)
+	var p pace
+	for range 20 {
+		p.answered(240 * time.Millisecond)
+	}
+	is.True(p.timeout(0) > time.Second)
+	is.True(p.timeout(0) <= mostTimeout)
+}
