Tell a request's story from logs; one memo, one hash, signals from the start

Change: galenaward explain REQUEST-ID FILE... prints the request's lines, those of its program and what the processes on its way noticed around it. A body is hashed once a process. The bounded maps of warm engines and of programs that asked are one type. Hangup signals are taken from the process's first moment on, and the first look at an unchanged file is no reload. The operator's limit of a request's head is kept (431); limits and sizes that nothing read are gone. Ruled out: reading the logs' directory by itself; collectors differ, so files are named.

--- a/cmd/galenaward/main.go
+++ b/cmd/galenaward/main.go
@@ -24,7 +24,7 @@
 		Below: []*parse.Command{
 			daemon.Entry(), daemon.Sidecar(), daemon.Gateway(), daemon.Dev(),
 			opcmd.Program(), opcmd.Settings(), opcmd.Workspace(), opcmd.Key(), opcmd.Order(),
-			opcmd.Check(), opcmd.Defaults(), versionCommand(),
+			opcmd.Check(), opcmd.Defaults(), opcmd.Explain(), versionCommand(),
 		},
 	}
 	return parse.Run(context.Background(), root, os.Args[1:])
--- a/internal/cmdl/daemon/gateway.go
+++ b/internal/cmdl/daemon/gateway.go
@@ -20,17 +20,23 @@
 		Name: "gateway", Help: "run a gateway process on the platform",
 		Arguments: []parse.Argument{{Name: "FILE", Help: "settings file, JSON with comments", Value: &file}},
 		Run: func(ctx context.Context, _ io.Writer) error {
+			r := &reloader{file: file, hangup: hangups()}
+			var err error
+			if r.raw, err = os.ReadFile(file); err != nil {
+				return err
+			}
 			c := config.DefaultGateway()
 			if err := load(file, c); err != nil {
 				return err
 			}
+			r.cur = *c
 			boundMemory(c)
-			return runGateway(ctx, file, c)
+			return runGateway(ctx, r, c)
 		},
 	}
 }
 
-func runGateway(ctx context.Context, file string, c *config.Gateway) error {
+func runGateway(ctx context.Context, r *reloader, c *config.Gateway) error {
 	lines := telem.NewWriter(os.Stdout)
 	logs := group.New(context.WithoutCancel(ctx))
 	logsEnd, endLogs := context.WithCancel(context.WithoutCancel(ctx))
@@ -50,10 +56,10 @@
 		if err != nil {
 			return nil, err
 		}
-		r := &reloader{file: file, lg: lg, cur: *c, apply: func(n *config.Gateway) {
+		r.lg, r.apply = lg, func(n *config.Gateway) {
 			boundMemory(n)
 			gw.Reload(n)
-		}}
+		}
 		g.Go(r.run)
 		return gw, nil
 	})
--- a/internal/cmdl/daemon/reload.go
+++ b/internal/cmdl/daemon/reload.go
@@ -23,6 +23,8 @@
 type reloader struct {
 	file string
 	lg   log.Logger
+	// hangup brings signals that the file may have changed.
+	hangup <-chan os.Signal
 	// apply puts new settings in force.
 	apply func(*config.Gateway)
 
@@ -33,16 +35,20 @@
 // live are the fields that need no restart.
 var live = []string{"memory_mb", "log_address"}
 
-// run watches for signals and changes until ctx ends. Hangup signals never end the process.
+// hangups returns a channel of hangup signals, which do not end the process any more.
+func hangups() <-chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	return ch
+}
+
+// run watches for signals and changes until ctx ends.
 func (r *reloader) run(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
 		select {
-		case <-hangup:
+		case <-r.hangup:
 			r.look("signal")
 		case <-tick.C:
 			r.look("file")
--- /dev/null
+++ b/internal/cmdl/opcmd/explain.go
@@ -0,0 +1,54 @@
+package opcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/cmdl/parse"
+	"galenaward.example/galenaward/internal/plat/story"
+)
+
+// Explain returns the command that prints a request's story from the logs of several processes.
+func Explain() *parse.Command {
+	request := ""
+	var files []string
+	return &parse.Command{
+		Name: "explain", Help: "print what happened to a request, from the logs of several processes",
+		Arguments: []parse.Argument{{Name: "REQUEST-ID", Help: "id of the caller's attempt", Value: &request}},
+		Rest:      &parse.Rest{Name: "FILE", Help: "log file; may be given several times", Values: &files},
+		Run: func(_ context.Context, out io.Writer) error {
+			if len(files) == 0 {
+				return errors.Mark(errors.New("FILE is missing"), parse.ErrUsage)
+			}
+			var lines []story.Line
+			for _, name := range files {
+				ls, strange, err := readLog(name)
+				if err != nil {
+					return errors.Wrapf(err, "read %s", name)
+				}
+				if strange > 0 {
+					fmt.Fprintf(os.Stderr, "%s: %d lines are no log lines\n", name, strange)
+				}
+				lines = append(lines, ls...)
+			}
+			entries, err := story.Of(request, lines)
+			if err != nil {
+				return err
+			}
+			return story.Write(out, entries)
+		},
+	}
+}
+
+func readLog(name string) ([]story.Line, int, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer f.Close()
+	return story.Read(f)
+}
--- a/internal/cmdl/parse/command.go
+++ b/internal/cmdl/parse/command.go
@@ -39,10 +39,18 @@
 	Optional   bool
 }
 
+// Rest takes all positional arguments behind the named ones.
+type Rest struct {
+	Name, Help string
+	Values     *[]string
+}
+
 // Command is one command, or a group of commands if Run is nil.
 type Command struct {
 	Name, Help string
 	Arguments  []Argument
+	// Rest takes further arguments; nil if there are none.
+	Rest *Rest
 	// Flags adds the command's flags; nil for none.
 	Flags func(*flaggy.Subcommand)
 	Run   func(ctx context.Context, out io.Writer) error
@@ -63,6 +71,7 @@
 		fmt.Fprintf(os.Stderr, "%s: %s\n", root.Name, err)
 		return ExitUsage
 	}
+	args = takeRest(root, args)
 	used := make(map[*flaggy.Subcommand]*Command)
 	for _, c := range root.Below {
 		attach(&p.Subcommand, c, used)
@@ -100,6 +109,35 @@
 	return nil
 }
 
+// takeRest moves the arguments behind the named ones of the chosen command to its Rest; the parser knows none such.
+func takeRest(root *Command, args []string) []string {
+	at, n := root, 0
+	for ; n < len(args) && len(at.Below) > 0; n++ {
+		i := slices.IndexFunc(at.Below, func(c *Command) bool { return c.Name == args[n] })
+		if i < 0 {
+			return args
+		}
+		at = at.Below[i]
+	}
+	if at.Rest == nil {
+		return args
+	}
+	kept := slices.Clone(args[:n])
+	named := 0
+	for _, a := range args[n:] {
+		switch {
+		case strings.HasPrefix(a, "-"):
+			kept = append(kept, a)
+		case named < len(at.Arguments):
+			named++
+			kept = append(kept, a)
+		default:
+			*at.Rest.Values = append(*at.Rest.Values, a)
+		}
+	}
+	return kept
+}
+
 func (c *Command) names() []string {
 	out := make([]string, 0, len(c.Below))
 	for _, b := range c.Below {
@@ -111,6 +149,9 @@
 func attach(parent *flaggy.Subcommand, c *Command, used map[*flaggy.Subcommand]*Command) {
 	sc := flaggy.NewSubcommand(c.Name)
 	sc.Description = c.Help
+	if c.Rest != nil {
+		sc.AdditionalHelpAppend = fmt.Sprintf("  Then: %s ...  %s", c.Rest.Name, c.Rest.Help)
+	}
 	if c.Flags != nil {
 		c.Flags(sc)
 	}
--- a/internal/plat/fault/code.go
+++ b/internal/plat/fault/code.go
@@ -9,6 +9,7 @@
 const (
 	InvalidRequest   Code = "invalid_request"
 	BodyTooLarge     Code = "body_too_large"
+	HeaderTooLarge   Code = "header_too_large"
 	Unauthenticated  Code = "unauthenticated"
 	Forbidden        Code = "forbidden"
 	KeyWithdrawn     Code = "key_withdrawn"
@@ -46,6 +47,7 @@
 var statuses = map[Code]int{
 	InvalidRequest:   http.StatusBadRequest,
 	BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	Unauthenticated:  http.StatusUnauthorized,
 	KeyWithdrawn:     http.StatusUnauthorized,
 	Forbidden:        http.StatusForbidden,
--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -63,6 +63,13 @@
 
 // fingerprint identifies a request over its attempts, which have ids of their own.
 func (j *job) fingerprint() uint64 {
+	if !j.hashed {
+		j.hash, j.hashed = j.sum(), true
+	}
+	return j.hash
+}
+
+func (j *job) sum() uint64 {
 	d := xxhash.New()
 	for _, s := range []string{j.call.Method, j.call.Host, j.call.Target, j.workspace.Name, j.call.Turn.Previous} {
 		_, _ = d.WriteString(s)
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -52,8 +52,10 @@
 	rates   *rates
 	streams *frame.Set
 	readers readers
-	warm    warmth
-	asked   asked
+	// warm is the engine that holds the cache of each turn, asked the time that programs had when they first wanted to
+	// begin.
+	warm    memo[string]
+	asked   memo[time.Duration]
 	sampled sampler
 	crashes *crashes
 	policy  admit.Policy
@@ -75,14 +77,17 @@
 const (
 	sweepEvery = time.Second
 	readyEvery = 50 * time.Millisecond
+	// warmTurns bounds the turns whose engine is remembered, askedPrograms the programs that wanted to begin.
+	warmTurns     = 20_000
+	askedPrograms = 5_000
 )
 
 // Start begins to follow the store and to serve peers. Calls are handed to Serve.
 func Start(g *group.Group, s *config.Gateway, d Deps) (*Gate, error) {
 	gt := &Gate{
 		settings: s, codec: d.Codec, read: d.Announcements, lg: d.Log, metrics: d.Metrics, group: g,
-		roster: roster.New(), streams: frame.NewSet(), warm: newWarmth(),
-		asked: newAsked(), crashes: newCrashes(), policy: admit.DefaultPolicy(),
+		roster: roster.New(), streams: frame.NewSet(), warm: newMemo[string](warmTurns),
+		asked: newMemo[time.Duration](askedPrograms), crashes: newCrashes(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -137,7 +137,7 @@
 	slots, held := g.roster.Census(q.Service, now)
 	load := admit.Gauge{Slots: slots, Held: held}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
-	a := admit.Ask{Rank: q.Rank, Left: left, Whole: g.asked.whole(program, left)}
+	a := admit.Ask{Rank: q.Rank, Left: left, Whole: g.asked.first(program, left)}
 	ok, retryAfter := g.policy.Begin(load, a)
 	if ok {
 		return nil
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -261,14 +261,6 @@
 	}
 }
 
-// Up reports whether the instance is known and takes new work.
-func (t *Table) Up(instance string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.m[instance]
-	return ok && !s.Draining
-}
-
 // Census returns the slots of the upstreams of a service that take work, and the requests that they hold.
 func (t *Table) Census(service string, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -102,7 +102,9 @@
 	is.Equal(tb.Len(), 2)
 	tb.Settle(now.Add(3 * time.Second))
 	is.Equal(tb.Len(), 1)
-	is.True(tb.Up("back"))
+	u, ok := tb.Pick(Want{Service: "s"}, now.Add(3*time.Second))
+	is.True(ok)
+	is.Equal(u.Instance, "back")
 }
 
 func TestRestartUnderTheSameNameForgetsWhatWasKnown(t *testing.T) {
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -87,27 +87,20 @@
 // Service is a set of upstreams that run the same requests.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one upstream takes from all callers together; 0 is unknown.
-	MaxConnections int
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots int
-	// MemoryTokens is the size of an engine's KV cache.
-	MemoryTokens int64
 	// EventTokens is the number of tokens that one event of a stream stands for.
 	EventTokens int64
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send; zero is no limit of the operator's.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // New returns the layout with its indexes built. The slices are not to be changed afterwards.
