Wait for the record that covers a sub-agent's tokens

Cause: the end of a turn reserves the program's next turn ahead; a sub-agent that began before that record was confirmed passed tokens on without waiting for it. Had the home died then, up to one turn's tokens would not have been counted. Change: the end of a turn sets the ticket that its program's turns wait for. A turn that follows in its line comes after that record anyway. Test: TestCoverOfAnEndingTurnMustBeDurable failed before.

--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -264,3 +264,30 @@
 		is.Equal(len(a.AllHeld()), 2)
 	})
 }
+
+// TestCoverOfAnEndingTurnMustBeDurable lets a sub-agent begin on the tokens that the end of another turn reserved ahead,
+// while the record of that end is on its way.
+func TestCoverOfAnEndingTurnMustBeDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake(1)
+		a := begin(f, address)
+		defer a.stop()
+		time.Sleep(time.Second)
+		p, ok := a.Held(0)
+		is.True(ok)
+		first, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
+		is.NoErr(err)
+		is.NoErr(p.Await(t.Context(), first.Ticket))
+		f.set(true, false)
+		_, err = p.Finish(first, turnOf("a", ""), 50, time.Now())
+		is.NoErr(err)
+		second, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.True(errors.Is(p.Await(ctx, second.Ticket), context.DeadlineExceeded))
+		f.set(false, false)
+		is.NoErr(p.Await(t.Context(), second.Ticket))
+	})
+}
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -118,7 +118,9 @@
 	if p.lost != nil {
 		return 0, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	return p.push(recs, now), nil
+	ticket := p.push(recs, now)
+	p.programTickets[b.Claim.Program] = ticket
+	return ticket, nil
 }
 
 // Adopt takes turns that were answered whole elsewhere: by the former holder of the partition, or as the chain of a
