--- a/internal/role/gate/rates_test.go
+++ b/internal/role/gate/rates_test.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// filledKeeper plays a keeper whose bucket has had the second that it needs to fill.
+func filledKeeper(perSecond float64) *keeper {
+	k := newKeeper(perSecond)
+	k.take(false)
+	time.Sleep(time.Second)
+	return k
+}
+
 // take borrows one token and spends it at once.
 func (k *keeper) take(plan bool) bool {
 	name := k.w.Name
@@ -101,9 +109,7 @@
 func TestNoProgramBeginsWhileTokensAreScarce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := newKeeper(50)
-		k.take(false)
-		time.Sleep(time.Second)
+		k := filledKeeper(50)
 		is.True(k.take(true))
 		for k.take(false) {
 		}
@@ -120,9 +126,7 @@
 func TestUsualWorkspace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := newKeeper(220)
-		k.take(false)
-		time.Sleep(time.Second)
+		k := filledKeeper(220)
 		begun, ended, _ := k.demand(10, true)
 		is.Equal(begun, 100)
 		is.Equal(ended, 100)
@@ -150,9 +154,7 @@
 func TestRefusedCallsTakeNoRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := newKeeper(50)
-		k.take(false)
-		time.Sleep(time.Second)
+		k := filledKeeper(50)
 		served := 0
 		for range 100 {
 			s := k.r.space(k.w.Name)
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -34,6 +34,16 @@
 	}}
 }
 
+// hold begins an owner of the only partition and returns both once it takes turns.
+func hold(t *testing.T, f *fake) (*process, *Partition) {
+	t.Helper()
+	o := begin(f, address)
+	time.Sleep(time.Second)
+	p, ok := o.Held(0)
+	is.New(t).True(ok)
+	return o, p
+}
+
 func claimOf(id string) turns.Claim {
 	return turns.Claim{Program: turns.Ref{Workspace: "w", ID: id}, Budget: 1000, Most: 100, Keep: time.Minute}
 }
@@ -45,6 +55,16 @@
 	}
 }
 
+// beginCovered begins a turn whose tokens are covered by a confirmed record.
+func beginCovered(t *testing.T, p *Partition) Begun {
+	t.Helper()
+	is := is.New(t)
+	b, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
+	is.NoErr(err)
+	is.NoErr(p.Await(t.Context(), b.Ticket))
+	return b
+}
+
 // run begins and finishes one turn and waits until it is durable.
 func run(ctx context.Context, p *Partition, id, previous string) error {
 	b, err := p.Begin(claimOf("p"), turns.Ref{Workspace: "w", ID: previous}, time.Now())
@@ -65,10 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFake(1)
-		a := begin(f, address)
-		time.Sleep(time.Second)
-		p, ok := a.Held(0)
-		is.True(ok)
+		a, p := hold(t, f)
 		is.True(p.Fresh())
 		previous := ""
 		for i := range 5 {
@@ -78,10 +95,7 @@
 		}
 		a.stop()
 
-		b := begin(f, address) // Evicts its former self at the same address.
-		time.Sleep(time.Second)
-		p, ok = b.Held(0)
-		is.True(ok)
+		b, p := hold(t, f) // Evicts its former self at the same address.
 		is.True(!p.Fresh())
 		chain, err := p.Chain(turns.Ref{Workspace: "w", ID: previous})
 		is.NoErr(err)
@@ -95,10 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFake(1)
-		a := begin(f, address)
-		time.Sleep(time.Second)
-		old, ok := a.Held(0)
-		is.True(ok)
+		a, old := hold(t, f)
 		begun, err := old.Begin(claimOf("p"), turns.Ref{}, time.Now())
 		is.NoErr(err)
 
@@ -124,12 +135,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFake(1)
-		a := begin(f, address)
-		time.Sleep(time.Second)
-		p, _ := a.Held(0)
-		begun, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
-		is.NoErr(err)
-		is.NoErr(p.Await(t.Context(), begun.Ticket))
+		a, p := hold(t, f)
+		begun := beginCovered(t, p)
 		f.set(true, false)
 		ticket, err := p.Finish(begun, turnOf("t1", ""), 50, time.Now())
 		is.NoErr(err)
@@ -151,12 +158,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFake(1)
-		a := begin(f, address)
-		time.Sleep(time.Second)
-		p, _ := a.Held(0)
-		begun, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
-		is.NoErr(err)
-		is.NoErr(p.Await(t.Context(), begun.Ticket))
+		a, p := hold(t, f)
+		begun := beginCovered(t, p)
 		before := f.appends
 		f.set(false, true)
 		ticket, err := p.Finish(begun, turnOf("t1", ""), 50, time.Now())
@@ -220,22 +223,6 @@
 	})
 }
 
-func TestPace(t *testing.T) {
-	is := is.New(t)
-	var p pace
-	is.Equal(p.timeout(0), leastTimeout)
-	for range 50 {
-		p.answered(240 * time.Millisecond)
-	}
-	is.True(p.timeout(0) > time.Second)
-	is.Equal(p.timeout(3), mostTimeout)
-	for range 50 {
-		p.answered(4 * time.Millisecond)
-	}
-	is.Equal(p.timeout(0), leastTimeout)
-	is.Equal(p.timeout(1), 2*leastTimeout)
-}
-
 // TestCutProcessGivesItsPartitionsUp is the pattern of days on which some machines are cut off from the store: calls
 // through peers are slow, so others hold the partitions until the machine reaches the store again.
 func TestCutProcessGivesItsPartitionsUp(t *testing.T) {
@@ -271,16 +258,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFake(1)
-		a := begin(f, address)
+		a, p := hold(t, f)
 		defer a.stop()
-		time.Sleep(time.Second)
-		p, ok := a.Held(0)
-		is.True(ok)
-		first, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
-		is.NoErr(err)
-		is.NoErr(p.Await(t.Context(), first.Ticket))
+		first := beginCovered(t, p)
 		f.set(true, false)
-		_, err = p.Finish(first, turnOf("a", ""), 50, time.Now())
+		_, err := p.Finish(first, turnOf("a", ""), 50, time.Now())
 		is.NoErr(err)
 		second, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
 		is.NoErr(err)
--- a/internal/role/owner/pace_test.go
+++ b/internal/role/owner/pace_test.go
@@ -26,12 +26,19 @@
 	is.Equal(p.timeout(0), leastTimeout)
 }
 
-func TestPaceFollowsASlowStore(t *testing.T) {
+func TestPace(t *testing.T) {
 	is := is.New(t)
 	var p pace
-	for range 20 {
+	is.Equal(p.timeout(0), leastTimeout)
+	for range 50 {
 		p.answered(240 * time.Millisecond)
 	}
 	is.True(p.timeout(0) > time.Second)
 	is.True(p.timeout(0) <= mostTimeout)
+	is.Equal(p.timeout(3), mostTimeout)
+	for range 50 {
+		p.answered(4 * time.Millisecond)
+	}
+	is.Equal(p.timeout(0), leastTimeout)
+	is.Equal(p.timeout(1), 2*leastTimeout)
 }
--- a/internal/role/owner/read_test.go
+++ b/internal/role/owner/read_test.go
@@ -19,10 +19,7 @@
 	t.Helper()
 	is := is.New(t)
 	f := newFake(1)
-	a := begin(f, address)
-	time.Sleep(time.Second)
-	former, ok := a.Held(0)
-	is.True(ok)
+	a, former := hold(t, f)
 	previous := ""
 	for i := range 4 {
 		id := fmt.Sprint("t", i)
@@ -36,7 +33,7 @@
 	f.stall, f.resume = 4, make(chan struct{})
 	b := begin(f, address)
 	time.Sleep(500 * time.Millisecond)
-	p, ok = b.Held(0)
+	p, ok := b.Held(0)
 	is.True(ok) // It takes turns before all is read.
 	return p, func() { close(f.resume); time.Sleep(50 * time.Millisecond) }, b.stop
 }
