Keep accounts of programs on every streaming route; learn who leaves from answers

Cause: a streaming route without kept history took no turns, so its programs had no account, no engine kept, no urgency, and its streams were read up to 256 KiB before the caller got an event. Upstreams that leave were known from announcements only. Heads of answers had no bound, and the rest of a refusal was read however slowly it came. A turn whose record the store does not take was appended for ever, and its partition with it.

Ruled out: a second path for programs without history. What differs is the chain and the record of the end: without history a claim covers the next turn too, so that about one turn in two needs a record, and a turn that is covered runs while the store is away (a successor counts the ceiling as spent).

Change: every streaming route carries turns; keeps_history and resumable are properties of a route. Plain streams pass at once. Streams that may be resumed go on at another engine behind the last whole event; the caller's own Last-Event-Id is passed on there. Engines that hold a prompt are remembered by the prompt's parts, so sub-agents and routes without history find them. The plan of programs that begin is asked at the home, which knows who began. Server-Leaving is kept with the start of an upstream. Heads end at 64 KiB, refusals are read for 50 ms, answers to turns end at what a record holds (record_bytes).

--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -20,6 +20,8 @@
 	LogAddress string `json:"log_address"`
 	// Partitions is the number of partitions over which programs are spread; it must never change.
 	Partitions int64 `json:"partitions"`
+	// RecordBytes is the size of the largest record that the log takes. The input and the answer of a turn share one.
+	RecordBytes int64 `json:"record_bytes"`
 	// FirstStart says that the deployment starts for the first time, so that the log holds nothing.
 	FirstStart bool `json:"first_start"`
 	// MemoryMB bounds the memory of the process in megabytes.
@@ -36,7 +38,7 @@
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
-		Partitions: 12, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
+		Partitions: 12, RecordBytes: 256 << 10, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
 	}
 }
 
@@ -52,6 +54,7 @@
 	}
 	fs = append(fs, address("log_address", g.LogAddress)...)
 	fs = append(fs, atLeast("partitions", g.Partitions, 1)...)
+	fs = append(fs, atLeast("record_bytes", g.RecordBytes, 16<<10)...)
 	fs = append(fs, atLeast("memory_mb", g.MemoryMB, 32)...)
 	fs = append(fs, atLeast("max_connections", g.MaxConnections, 1)...)
 	fs = append(fs, atLeast("stop_ms", g.StopMS, 0)...)
--- a/internal/role/gate/call.go
+++ b/internal/role/gate/call.go
@@ -41,6 +41,17 @@
 	// PromptTokens is the size of the prompt, MostTokens the most tokens that the turn generates.
 	PromptTokens int64 `json:"prompt_tokens,omitempty"`
 	MostTokens   int64 `json:"most_tokens,omitempty"`
+	// Parts are the parts of the prompt in order. The last one belongs to the turn's line of turns; earlier ones are
+	// shared with other lines or programs.
+	Parts []PromptPart `json:"parts,omitempty"`
+	// ResumeAfter is the id of the last event that the caller has of an earlier stream; empty for a new one.
+	ResumeAfter string `json:"resume_after,omitempty"`
+}
+
+// PromptPart is a part of a prompt that engines cache as one.
+type PromptPart struct {
+	ID     string `json:"id"`
+	Tokens int64  `json:"tokens"`
 }
 
 // Reply is the way back to the caller. Head is called at most once, before Write.
@@ -61,6 +72,8 @@
 	Left time.Duration
 	// Urgency orders the requests at an engine, 0 first; negative for none.
 	Urgency int
+	// ResumeAfter is the id of the last event that was passed on; empty for a stream from its start.
+	ResumeAfter string
 }
 
 // Verdict is what an upstream's answer says beside its body.
@@ -69,6 +82,8 @@
 	NotRun bool
 	// Misdirected means that another instance has the address.
 	Misdirected bool
+	// Leaving is the upstream's word that it takes new work only for a short while.
+	Leaving bool
 	// Signed says that the answer bears the upstream's signature.
 	Signed  bool
 	Load    roster.Load
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -28,6 +28,10 @@
 	// adoptTimeout bounds the handing of a turn to the new holder of its partition. A caller leaves a stream that is
 	// silent for two seconds.
 	adoptTimeout = 1800 * time.Millisecond
+	// streamBytes bounds the answer to a turn, which is kept until the caller has read it.
+	streamBytes = 1 << 20
+	// recordMargin is the room in a turn's record for its names and lengths.
+	recordMargin = 4 << 10
 	// chainTimeout bounds the search for a chain in other partitions.
 	chainTimeout = 500 * time.Millisecond
 )
@@ -41,6 +45,12 @@
 	out   sink
 	// scan reads the events that were passed on.
 	scan events.Scanner
+	// torn holds the start of an event of a stream that may go on at another engine.
+	torn []byte
+	// headed says that the head of the answer was passed on.
+	headed bool
+	// underWay says that the program had begun before this turn.
+	underWay bool
 }
 
 // runTurn runs a turn of a program whose partition this process holds.
@@ -58,29 +68,54 @@
 	if f := t.begin(ctx); f != nil {
 		return f
 	}
+	if q.Resumable {
+		a.resumeAfter = q.Call.Turn.ResumeAfter
+	}
 	prompt := turns.Prompt(t.begun.Chain, q.Call.Body)
-	warm := g.warm.of(turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous})
+	warm := g.warmEngine(q)
 	for a.more() && ctx.Err() == nil {
 		u, ok := g.pick(a, warm, warmBonus)
 		if !ok {
 			break
 		}
-		ans, ok := g.exchange(ctx, a, u, prompt, urgency(q))
+		ans, ok := g.exchange(ctx, a, u, prompt, t.urgency())
 		if ok {
-			return t.stream(ctx, a, u, ans)
+			again, f := t.stream(ctx, a, u, ans)
+			if !again {
+				return f
+			}
+			g.metrics.Add("streams_resumed", 1)
 		}
-		if a.ran {
+		if a.ran && !a.repeatable() {
 			break
 		}
 	}
-	t.part.End(t.begun, 0)
+	t.part.End(t.begun, t.tokens())
 	return g.giveUp(ctx, a)
 }
 
+// warmEngine returns the engine that is known to hold most of the turn's prompt; empty if none is.
+func (g *Gate) warmEngine(q *turnRequest) string {
+	for _, ref := range q.caches() {
+		if instance := g.warm.of(ref); instance != "" {
+			return instance
+		}
+	}
+	return ""
+}
+
+// warmed remembers the engine that holds the turn's prompt and answer.
+func (g *Gate) warmed(q *turnRequest, instance string) {
+	if parts := q.Call.Turn.Parts; len(parts) > 0 {
+		g.warm.set(turns.Ref{Workspace: q.Workspace, ID: "part/" + parts[len(parts)-1].ID}, instance)
+	}
+	g.warm.set(turns.Ref{Workspace: q.Workspace, ID: q.Call.ID}, instance)
+}
+
 // urgency returns the engine's priority for the turn: 0 first. Programs under way go before those that begin.
-func urgency(q *turnRequest) int {
-	u := min(9, 2*q.Rank+1)
-	if q.Call.Turn.Previous != "" {
+func (t *turnRun) urgency() int {
+	u := min(9, 2*t.Rank+1)
+	if t.underWay {
 		u--
 	}
 	return u
@@ -89,8 +124,9 @@
 // begin reserves the turn's tokens and finds its chain.
 func (t *turnRun) begin(ctx context.Context) *fault.Fault {
 	g, q := t.gate, t.turnRequest
-	previous := turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous}
-	if f := t.admit(time.Now()); f != nil {
+	previous := q.previous()
+	t.underWay = previous.ID != "" || t.part.Knows(q.program())
+	if f := t.admit(ctx, time.Now()); f != nil {
 		return f
 	}
 	var err error
@@ -127,63 +163,137 @@
 	return t.part.AwaitChain(ctx, previous)
 }
 
-// admit refuses a program that would begin while the engines are full.
-func (t *turnRun) admit(now time.Time) *fault.Fault {
+// admit refuses a program that would begin while the engines are full or its workspace's rate holds no more of them.
+func (t *turnRun) admit(ctx context.Context, now time.Time) *fault.Fault {
 	g, q := t.gate, t.turnRequest
-	program := turns.Ref{Workspace: q.Workspace, ID: q.Call.Program}
-	if q.Call.Turn.Previous != "" || t.part.Knows(program) {
+	if t.underWay {
 		return nil
 	}
 	slots, held := g.roster.Census(q.Service, now)
 	load := admit.Gauge{Slots: slots, Held: held}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
-	a := admit.Ask{Rank: q.Rank, Left: left, Whole: g.asked.first(program, left)}
+	a := admit.Ask{Rank: q.Rank, Left: left, Whole: g.asked.first(q.program(), left)}
 	ok, retryAfter := g.policy.Begin(load, a)
 	if ok {
-		return nil
+		w, _ := g.layout.Load().Workspace(q.Workspace)
+		return g.rates.begin(ctx, w)
 	}
 	g.metrics.Add("programs_refused", 1)
 	return g.refuse(fault.Overloaded, "begin", "engines of %q hold %.1f requests in %d slots, limit %.2f at rank %d, %v of %v left",
 		q.Service, held, slots, g.policy.Limit(a), q.Rank, left, a.Whole).WithRetryAfter(retryAfter)
 }
 
-// stream passes an engine's answer on. Its end is told once the turn is durable.
-func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, ans *httpc.Answer) *fault.Fault {
+// stream passes an engine's answer on. The end of a turn whose history is kept is told once it is durable. Again means
+// that the answer broke off and may go on at another engine.
+func (t *turnRun) stream(ctx context.Context, a *attempts, u roster.Upstream, ans *httpc.Answer) (again bool, f *fault.Fault) {
 	defer ans.Close()
 	g := t.gate
 	if err := t.part.Await(ctx, t.begun.Ticket); err != nil {
-		t.part.End(t.begun, 0)
+		t.part.End(t.begun, t.tokens())
 		g.outcome(ctx, a, u, roster.Abandoned, err)
-		return g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
+		return false, g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
+	}
+	if t.headed && ans.Status != http.StatusOK {
+		g.broken(ctx, a, u, errors.Newf("status %d in place of the rest of a stream", ans.Status))
+		return true, nil
+	}
+	if err := t.head(ans); err != nil {
+		return false, t.abandon(u, err)
+	}
+	err := t.body(ans)
+	var gone *goneError
+	switch {
+	case err == nil:
+	case errors.As(err, &gone):
+		return false, t.abandon(u, gone.cause)
+	default:
+		g.broken(ctx, a, u, err)
+		if t.resume(ctx, a) {
+			return true, nil
+		}
+		t.part.End(t.begun, t.tokens())
+		return false, g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.Count(), err).WithOutcome(fault.Ran)
+	}
+	g.ended(a.job, u)
+	g.warmed(t.turnRequest, u.Instance)
+	return false, t.finish(ctx, ans.Status)
+}
+
+// head passes the first engine's head on; later engines only go on with its body.
+func (t *turnRun) head(ans *httpc.Answer) error {
+	if t.headed {
+		return nil
 	}
-	h := g.codec.Backward(ans.Header)
-	if err := t.out(part{Status: ans.Status, Header: h}); err != nil {
-		return t.abandon(u, err)
+	t.headed = true
+	return t.out(part{Status: ans.Status, Header: t.gate.codec.Backward(ans.Header)})
+}
+
+// room returns how many bytes the answer may have.
+func (t *turnRun) room() int {
+	if !t.KeepsHistory {
+		return streamBytes
 	}
+	return min(streamBytes, int(t.gate.settings.RecordBytes)-recordMargin-len(t.Call.Body))
+}
+
+// goneError means that the answer could not be passed on.
+type goneError struct{ cause error }
+
+func (e *goneError) Error() string { return "the caller is gone: " + e.cause.Error() }
+
+// body passes an answer's body on until its end, as far as possible byte for byte as it arrives.
+func (t *turnRun) body(ans *httpc.Answer) error {
 	buf := make([]byte, 16<<10)
+	left := t.room()
 	for {
 		n, err := ans.Body.Read(buf)
-		if n > 0 {
-			t.scan.Write(buf[:n])
-			if werr := t.out(part{Body: slices.Clone(buf[:n])}); werr != nil {
-				return t.abandon(u, werr)
-			}
+		if left -= n; left < 0 {
+			return errors.Newf("the answer has more than %d bytes", t.room())
+		}
+		if werr := t.pass(buf[:n], err == io.EOF); werr != nil {
+			return &goneError{werr}
 		}
 		if err == io.EOF {
-			break
+			return nil
 		}
 		if err != nil {
-			t.part.End(t.begun, t.tokens())
-			g.broken(ctx, a, u, err)
-			return g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.Count(), err).WithOutcome(fault.Ran)
+			return err
 		}
 	}
-	g.ended(a.job, u)
-	g.warm.set(turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, u.Instance)
-	return t.finish(ctx, ans.Status)
 }
 
-// tokens returns what was handed out, a broken event included.
+// pass hands bytes out. Those of a stream that may go on elsewhere are held back until their event is whole.
+func (t *turnRun) pass(b []byte, last bool) error {
+	whole := t.scan.Write(b)
+	if last || !t.Resumable {
+		whole = len(b)
+	}
+	if whole == 0 && !last {
+		t.torn = append(t.torn, b...)
+		return nil
+	}
+	out := append(t.torn, b[:whole]...)
+	t.torn = slices.Clone(b[whole:])
+	if len(out) == 0 {
+		return nil
+	}
+	return t.out(part{Body: out})
+}
+
+// resume reports whether the broken stream may go on at another engine, and prepares that.
+func (t *turnRun) resume(ctx context.Context, a *attempts) bool {
+	if !t.Resumable || !a.more() || ctx.Err() != nil || (t.scan.Count() > 0 && t.scan.ID() == "") {
+		return false
+	}
+	t.scan.Drop()
+	t.torn = nil
+	if id := t.scan.ID(); id != "" {
+		a.resumeAfter = id
+	}
+	return true
+}
+
+// tokens returns what was handed out. Of an event that broke off, a part may have been.
 func (t *turnRun) tokens() int64 {
 	n := t.scan.Count()
 	if !t.scan.Clean() {
@@ -198,9 +308,9 @@
 	return t.gate.callerGone(err)
 }
 
-// finish makes a turn that was answered whole durable.
+// finish makes a turn that was answered whole durable if its history is kept.
 func (t *turnRun) finish(ctx context.Context, status int) *fault.Fault {
-	if status != http.StatusOK {
+	if status != http.StatusOK || !t.KeepsHistory {
 		t.part.End(t.begun, t.tokens())
 		return nil
 	}
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -33,8 +33,13 @@
 	// ran says that an upstream may have begun to run the call.
 	ran  bool
 	last error
+	// resumeAfter is the id of the last event that was passed on of a stream that may go on at another upstream.
+	resumeAfter string
 }
 
+// repeatable reports whether the call may be sent to another upstream although one may have run it.
+func (a *attempts) repeatable() bool { return a.route.Kind == layout.Idempotent || a.route.Resumable }
+
 func (a *attempts) more() bool { return a.sent < a.route.MaxAttempts && a.unsent < maxUnsent }
 
 // servePlain sends a call to an upstream of its service and repeats what may be repeated.
@@ -43,6 +48,9 @@
 		return f
 	}
 	a := &attempts{job: j, service: j.service()}
+	if j.route.Resumable {
+		a.resumeAfter = j.call.Turn.ResumeAfter
+	}
 	for a.more() && ctx.Err() == nil {
 		u, ok := g.pick(a, "", 0)
 		if !ok {
@@ -52,7 +60,7 @@
 		if done {
 			return f
 		}
-		if a.ran && j.route.Kind != layout.Idempotent {
+		if a.ran && !a.repeatable() {
 			break
 		}
 	}
@@ -94,6 +102,10 @@
 		return false, nil
 	}
 	defer ans.Close()
+	if a.route.Kind == layout.Streaming {
+		w.Head(ans.Status, g.codec.Backward(ans.Header), -1)
+		return true, g.passOn(ctx, a, u, w, ans.Body)
+	}
 	head, err := io.ReadAll(io.LimitReader(ans.Body, heldBytes))
 	if err != nil {
 		g.broken(ctx, a, u, err)
@@ -141,7 +153,7 @@
 // exchange sends the call to one upstream and returns the head of an answer that counts. Otherwise it has noted why
 // not.
 func (g *Gate) exchange(ctx context.Context, a *attempts, u roster.Upstream, body []byte, urgency int) (*httpc.Answer, bool) {
-	d := Dispatch{Instance: u.Instance, Workspace: a.workspace.Name, Left: time.Until(a.until), Urgency: urgency}
+	d := Dispatch{Instance: u.Instance, Workspace: a.workspace.Name, Left: time.Until(a.until), Urgency: urgency, ResumeAfter: a.resumeAfter}
 	q := &httpc.Request{
 		Method: a.call.Method, Target: a.call.Target, Host: a.call.Host, Header: g.codec.Forward(a.call, d), Body: body,
 	}
@@ -161,13 +173,15 @@
 	if v.HasLoad {
 		g.roster.Heard(u.Instance, v.Load, time.Now())
 	}
+	if v.Leaving && g.roster.Leaving(u.Instance, time.Now()) {
+		g.note("upstream_leaving", "upstream", u.Instance, "address", u.Address, "request", a.call.ID)
+	}
 	if v.NotRun || v.Misdirected {
 		o := roster.Rejected
 		if v.Misdirected {
 			o = roster.Misdirected
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(ans.Body, heldBytes))
-		ans.Close()
+		ans.Discard()
 		a.last = errors.Newf("upstream %s answered %d without running the request", u.Instance, ans.Status)
 		g.outcome(ctx, a, u, o, a.last)
 		return nil, false
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -89,20 +89,25 @@
 
 func newRates(g *Gate) *rates { return &rates{gate: g, spaces: make(map[string]*space)} }
 
-// admit takes one request from the workspace's rate, or says when to come back. A request that begins a program also
-// takes what the program is expected to need from the workspace's plan, so that programs are not cut short by others
-// that begin.
-func (r *rates) admit(ctx context.Context, w layout.Workspace, begins bool) *fault.Fault {
+// begin takes what a program that begins is expected to need from the workspace's plan, so that programs are not cut
+// short by others that begin.
+func (r *rates) begin(ctx context.Context, w layout.Workspace) *fault.Fault {
 	if w.RatePerSecond <= 0 {
 		return nil
 	}
-	if begins {
-		plan := w
-		plan.Name = planPrefix + w.Name
-		if !r.acquire(ctx, plan, planPatience) {
-			return r.gate.refuse(fault.RateExceeded, "plan", "workspace %q has no room for one more program at %v requests per second",
-				w.Name, w.RatePerSecond).WithRetryAfter(beginRetry)
-		}
+	plan := w
+	plan.Name = planPrefix + w.Name
+	if r.acquire(ctx, plan, planPatience) {
+		return nil
+	}
+	return r.gate.refuse(fault.RateExceeded, "plan", "workspace %q has no room for one more program at %v requests per second",
+		w.Name, w.RatePerSecond).WithRetryAfter(beginRetry)
+}
+
+// admit takes one request from the workspace's rate, or says when to come back.
+func (r *rates) admit(ctx context.Context, w layout.Workspace) *fault.Fault {
+	if w.RatePerSecond <= 0 {
+		return nil
 	}
 	if r.acquire(ctx, w, borrowPatience) {
 		return nil
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -86,11 +86,13 @@
 			return j, g.refuse(fault.InvalidRequest, "admit", "id %.40q... has %d bytes, which are too many", id, len(id))
 		}
 	}
+	if most := int(g.settings.RecordBytes) / 2; r.KeepsHistory && c.Program != "" && len(c.Body) > most {
+		return j, g.refuse(fault.BodyTooLarge, "admit", "the turn's input has %d bytes, at most %d can be kept", len(c.Body), most)
+	}
 	if !time.Now().Before(j.until) {
 		return j, g.refuse(fault.Overloaded, "admit", "the deadline has passed")
 	}
-	begins := r.Turns && c.Program != "" && c.Turn.Previous == ""
-	if f := g.rates.admit(ctx, j.workspace, begins); f != nil {
+	if f := g.rates.admit(ctx, j.workspace); f != nil {
 		return j, f
 	}
 	return j, nil
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -21,6 +21,9 @@
 	// a member for dead, and the reading of the partition.
 	homePatience = 2200 * time.Millisecond
 	homePause    = 40 * time.Millisecond
+	// leastAccountLife is how long a program's account is kept at least after a turn. It and twice the retention leave
+	// room for turns that an earlier record covers, which do not prolong the record.
+	leastAccountLife = 2 * time.Minute
 	// cancelTimeout bounds the message that ends a turn at its home.
 	cancelTimeout = 400 * time.Millisecond
 )
@@ -34,6 +37,10 @@
 	Service string `json:"service"`
 	Route   string `json:"route"`
 	Rank    int    `json:"rank"`
+	// KeepsHistory says that the caller sent only what is new in the turn, Resumable that its stream may go on at another
+	// engine.
+	KeepsHistory bool `json:"keeps_history,omitempty"`
+	Resumable    bool `json:"resumable,omitempty"`
 	// MaxAttempts bounds the engines that the turn is sent to.
 	MaxAttempts int `json:"max_attempts"`
 	// EventTokens is how many tokens one event stands for.
@@ -96,7 +103,7 @@
 	q := &turnRequest{
 		Call: j.call, Workspace: j.workspace.Name, Partition: g.owner.PartitionOf(j.workspace.Name + "/" + j.call.Program),
 		Service: j.service(), Route: j.route.Name, Rank: j.route.Rank(j.workspace), MaxAttempts: j.route.MaxAttempts,
-		EventTokens: 1, RetentionMS: j.route.Retention.Milliseconds(),
+		KeepsHistory: j.route.KeepsHistory, Resumable: j.route.Resumable, EventTokens: 1, RetentionMS: j.route.Retention.Milliseconds(),
 	}
 	if s, ok := g.layout.Load().Service(q.Service); ok && s.Engine != nil {
 		q.EventTokens = max(1, s.Engine.EventTokens)
@@ -267,15 +274,40 @@
 // claimOf returns what the turn asks of its program's budget.
 func (q *turnRequest) claim() turns.Claim {
 	return turns.Claim{
-		Program: turns.Ref{Workspace: q.Workspace, ID: q.Call.Program}, Budget: q.Call.Turn.Budget,
-		Most: q.Call.Turn.MostTokens, Keep: time.Duration(q.RetentionMS) * time.Millisecond,
+		Program: q.program(), Budget: q.Call.Turn.Budget, Most: q.Call.Turn.MostTokens, Recorded: q.KeepsHistory,
+		Keep: max(leastAccountLife, 2*time.Duration(q.RetentionMS)*time.Millisecond),
 	}
 }
 
+func (q *turnRequest) program() turns.Ref {
+	return turns.Ref{Workspace: q.Workspace, ID: q.Call.Program}
+}
+
+// previous returns the turn that this one continues, none if the caller sent the whole prompt.
+func (q *turnRequest) previous() turns.Ref {
+	if !q.KeepsHistory {
+		return turns.Ref{Workspace: q.Workspace}
+	}
+	return turns.Ref{Workspace: q.Workspace, ID: q.Call.Turn.Previous}
+}
+
+// caches returns the names under which the engine that holds most of the turn's prompt may be remembered, the one that
+// covers most of it first. The first part of a prompt is common to many programs and tells nothing.
+func (q *turnRequest) caches() []turns.Ref {
+	var out []turns.Ref
+	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
+		out = append(out, turns.Ref{Workspace: q.Workspace, ID: "part/" + q.Call.Turn.Parts[i].ID})
+	}
+	if q.Call.Turn.Previous != "" {
+		out = append(out, q.previous())
+	}
+	return out
+}
+
 // attemptsOf returns the state of the turn over its tries.
 func (q *turnRequest) attempts(until time.Time) *attempts {
 	return &attempts{service: q.Service, job: &job{
 		call: q.Call, until: until, workspace: layout.Workspace{Name: q.Workspace},
-		route: layout.Route{Name: q.Route, Kind: layout.Streaming, MaxAttempts: q.MaxAttempts},
+		route: layout.Route{Name: q.Route, Kind: layout.Streaming, MaxAttempts: q.MaxAttempts, Resumable: q.Resumable},
 	}}
 }
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -83,7 +83,7 @@
 	if p.lost != nil || p.closing {
 		return Begun{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	if p.detached(now) {
+	if p.detached(now) && !p.settled(c) {
 		return Begun{}, errors.Wrapf(ErrDetached, "partition %d for %s", p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
 	}
 	chain, err := p.chain(previous)
@@ -195,6 +195,12 @@
 	return p.asked
 }
 
+// settled reports whether the turn can run without the store: its tokens are covered by a record that is confirmed, so
+// that a successor counts them as spent, and it leaves no record of its own.
+func (p *Partition) settled(c turns.Claim) bool {
+	return !c.Recorded && p.ledger.Covered(c) && p.programTickets[c.Program] <= p.confirmed
+}
+
 func (p *Partition) detached(now time.Time) bool {
 	return p.asked > p.confirmed && now.Sub(p.pendingSince) > detachedAfter
 }
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -55,6 +55,8 @@
 	fullPause = 60 * time.Millisecond
 	// brokenPause is how long an upstream is left alone after a broken answer.
 	brokenPause = 100 * time.Millisecond
+	// leavingLife is how long after its last answer an upstream that leaves is remembered; it ends within seconds.
+	leavingLife = 10 * time.Minute
 	// loadLife is how long a load report counts; upstreams report with each answer.
 	loadLife = time.Second
 	// farPenalty is the load per slot that an upstream in another data centre must be below a near one.
@@ -87,10 +89,34 @@
 	m  map[string]*state
 	// settled is when vanished announcements count again after an outage of the store.
 	settled time.Time
+	// leaving holds the upstreams that said themselves that they leave, and when. It outlasts their announcements, which
+	// may be older.
+	leaving map[start]time.Time
+}
+
+// start is one start of an upstream.
+type start struct {
+	instance string
+	born     int64
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{m: make(map[string]*state)} }
+func New() *Table { return &Table{m: make(map[string]*state), leaving: make(map[start]time.Time)} }
+
+// Leaving takes an upstream's own word that it leaves, which holds until it ends. It reports whether that is new.
+func (t *Table) Leaving(instance string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[instance]
+	if !ok {
+		return false
+	}
+	key := start{instance, s.Born}
+	_, known := t.leaving[key]
+	t.leaving[key] = now
+	s.Draining = true
+	return !known
+}
 
 // Hold keeps upstreams whose announcements vanish until the time given.
 func (t *Table) Hold(until time.Time) {
@@ -111,6 +137,8 @@
 		s = &state{}
 		t.m[u.Instance] = s
 	}
+	_, leaving := t.leaving[start{u.Instance, u.Born}]
+	u.Draining = u.Draining || leaving
 	s.Upstream = u
 	s.missing = time.Time{}
 	return gone
@@ -159,6 +187,7 @@
 	if now.Before(t.settled) {
 		return
 	}
+	maps.DeleteFunc(t.leaving, func(_ start, at time.Time) bool { return now.Sub(at) > leavingLife })
 	maps.DeleteFunc(t.m, func(_ string, s *state) bool { return !s.missing.IsZero() })
 }
 
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -118,3 +118,30 @@
 	_, ok := tb.Pick(Want{Service: "s"}, now)
 	is.True(ok)
 }
+
+// TestLeavingIsKeptWithTheStart is the pattern of a worker that says in its answers that it leaves while announcements of
+// it are old: it gets no new work until it starts anew.
+func TestLeavingIsKeptWithTheStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	u := Upstream{Instance: "i1", Born: 1, Address: "a:1", Service: "s", Slots: 4}
+	tb := New()
+	tb.Update(u)
+	is.True(tb.Leaving("i1", now))
+	is.True(!tb.Leaving("i1", now)) // Known already.
+	picked := func() bool {
+		_, ok := tb.Pick(Want{Service: "s"}, now)
+		return ok
+	}
+	is.True(!picked())
+	tb.Update(u) // An announcement that is older than the answer.
+	is.True(!picked())
+	tb.Remove("i1", now)
+	tb.Update(u) // It lapsed and came back.
+	is.True(!picked())
+	tb.Settle(now.Add(time.Minute))
+	is.True(!picked())
+	u.Born = 2
+	tb.Update(u)
+	is.True(picked())
+}
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -60,9 +60,14 @@
 	MaxAttempts int
 	// Open routes need no key.
 	Open bool
-	// Turns routes carry turns of programs, whose history the system keeps for Retention.
+	// Turns routes carry turns of programs, whose accounts the system keeps for Retention.
 	Turns     bool
 	Retention time.Duration
+	// KeepsHistory says that callers send only what is new in a turn; the system keeps the rest for Retention. Only
+	// routes with Turns keep it.
+	KeepsHistory bool
+	// Resumable streams may go on at another upstream behind the last event that was passed on.
+	Resumable bool
 }
 
 // Target is a service that a route sends a part of its requests to.
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -70,6 +70,15 @@
 	Most int64
 	// Keep is how long the account is kept after the claim.
 	Keep time.Duration
+	// Recorded says that Finish will record the turn, and with it the ceiling that covers the program's next one. The
+	// records of other turns cover the next one as well, so that not each of them needs one.
+	Recorded bool
+}
+
+// Covered reports whether an earlier record covers the turn, so that Reserve returns none.
+func (l *Ledger) Covered(c Claim) bool {
+	p := l.programs[c.Program]
+	return p.Spent+p.Reserved+c.Most <= p.Ceiling
 }
 
 // Reserve sets tokens aside for a turn. It returns the record that must be durable before the first token is handed
@@ -88,6 +97,9 @@
 		return nil, nil
 	}
 	p.Ceiling = used
+	if !c.Recorded {
+		p.Ceiling += c.Most
+	}
 	l.programs[c.Program] = p
 	r := programRecord(c.Program, p)
 	return &r, nil
--- a/internal/state/turns/ledger_test.go
+++ b/internal/state/turns/ledger_test.go
@@ -289,3 +289,43 @@
 		})
 	}
 }
+
+// TestTurnsWithoutRecordsCoverTheNextOne counts the records of a program whose history is not kept: fewer than its turns,
+// and the budget holds over takeovers at any moment.
+func TestTurnsWithoutRecordsCoverTheNextOne(t *testing.T) {
+	const budget, most = 10_000, 100
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		log, l := newest{}, New()
+		handed, records, begun := int64(0), 0, 0
+		for range 40 {
+			c := Claim{Program: Ref{"shop", "p1"}, Budget: budget, Most: most, Keep: time.Minute}
+			covered := l.Covered(c)
+			rec, err := l.Reserve(c, start)
+			if err != nil {
+				break
+			}
+			if covered != (rec == nil) {
+				t.Fatalf("seed %d: covered %v, record %v", seed, covered, rec)
+			}
+			begun++
+			if rec != nil {
+				log.apply(*rec)
+				records++
+			}
+			n := rng.Int64N(most + 1)
+			handed += n
+			if rng.IntN(20) == 0 {
+				l = log.restore(t)
+				continue
+			}
+			l.Cancel(c, n)
+		}
+		if handed > budget {
+			t.Fatalf("seed %d: %d tokens handed out of %d", seed, handed, budget)
+		}
+		if begun > 30 && records*2 > begun+6 {
+			t.Fatalf("seed %d: %d records for %d turns", seed, records, begun)
+		}
+	}
+}
--- a/internal/wire/events/events.go
+++ b/internal/wire/events/events.go
@@ -12,29 +12,47 @@
 	has   bool
 	saved []byte
 	count int64
+	// id is of the last whole event that had one, nextID of the event that is not complete yet.
+	id, nextID string
 }
 
-// Write takes the next bytes of the stream.
-func (s *Scanner) Write(b []byte) {
-	for len(b) > 0 {
-		i := bytes.IndexByte(b, '\n')
+// Write takes the next bytes of the stream and returns how many of them belong to events that are whole now.
+func (s *Scanner) Write(b []byte) (whole int) {
+	for at := 0; ; {
+		i := bytes.IndexByte(b[at:], '\n')
 		if i < 0 {
-			s.line = append(s.line, b...)
-			return
+			s.line = append(s.line, b[at:]...)
+			return whole
 		}
-		s.line = append(s.line, b[:i]...)
-		s.end(bytes.TrimSuffix(s.line, []byte("\r")))
+		s.line = append(s.line, b[at:at+i]...)
+		at += i + 1
+		line := bytes.TrimSuffix(s.line, []byte("\r"))
+		if len(line) == 0 {
+			whole = at
+		}
+		s.end(line)
 		s.line = s.line[:0]
-		b = b[i+1:]
 	}
 }
 
+// Drop forgets the event that is not complete yet, since the stream goes on elsewhere with its start.
+func (s *Scanner) Drop() {
+	s.line, s.data, s.has, s.nextID = s.line[:0], s.data[:0], false, ""
+}
+
+// ID returns the id of the last whole event; empty if none had one.
+func (s *Scanner) ID() string { return s.id }
+
 // end takes a whole line. An empty line ends an event.
 func (s *Scanner) end(line []byte) {
 	if len(line) == 0 {
 		s.dispatch()
 		return
 	}
+	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		s.nextID = string(bytes.TrimPrefix(value, []byte(" ")))
+		return
+	}
 	value, ok := bytes.CutPrefix(line, []byte("data:"))
 	if !ok {
 		return
@@ -48,6 +66,9 @@
 }
 
 func (s *Scanner) dispatch() {
+	if s.nextID != "" {
+		s.id, s.nextID = s.nextID, ""
+	}
 	if !s.has {
 		return
 	}
--- a/internal/wire/events/events_test.go
+++ b/internal/wire/events/events_test.go
@@ -35,3 +35,29 @@
 		})
 	}
 }
+
+// TestWholeEvents checks how many bytes belong to whole events, and the id from which a stream can go on.
+func TestWholeEvents(t *testing.T) {
+	tests := []struct {
+		name, stream, id string
+		whole            int
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", 30},
+		{"cut in the second", "id: 1\ndata: a\n\nid: 2\ndata:", "1", 15},
+		{"cut before the end of the first", "id: 1\ndata: a\n", "", 0},
+		{"no ids", "data: a\n\n", "", 9},
+		{"an id is no event", "id:7\n\n", "7", 6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var s Scanner
+			is.Equal(s.Write([]byte(tt.stream)), tt.whole)
+			is.Equal(s.ID(), tt.id)
+			s.Drop()
+			is.True(s.Clean())
+			s.Write([]byte("id: 9\ndata: z\n\n"))
+			is.Equal(s.ID(), "9")
+		})
+	}
+}
--- a/internal/wire/httpc/conn.go
+++ b/internal/wire/httpc/conn.go
@@ -22,11 +22,30 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// headLeft is how many more bytes may be read while heads are expected; negative for no limit.
+	headLeft int64
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes)} }
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, headLeft: -1}
+	c.br = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft < 0 {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.headLeft)])
+	c.headLeft -= int64(n)
+	return n, err
+}
 
 // usable reports whether an idle connection is open and carries no bytes that nobody asked for.
 func (c *conn) usable(now time.Time) bool {
--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -22,6 +22,11 @@
 	inlineBytes = 8 << 10
 	// maxStrays bounds the answers to earlier requests that are passed over on one connection.
 	maxStrays = 2
+	// maxHeadBytes bounds the heads of the answers on one exchange, those of other requests included.
+	maxHeadBytes = 64 << 10
+	// discardBytes and discardTimeout bound the rest of an answer that is read only to keep its connection.
+	discardBytes   = 4 << 10
+	discardTimeout = 50 * time.Millisecond
 	// maxStrayBytes bounds the body of such an answer.
 	maxStrayBytes = 1 << 20
 )
@@ -31,6 +36,8 @@
 	ErrUnsent = errors.New("not sent")
 	// ErrStray means that only answers to other requests arrived.
 	ErrStray = errors.New("answer belongs to another request")
+	// ErrHeadTooLarge means that the head of an answer has no end within what a head may hold.
+	ErrHeadTooLarge = errors.New("head of the answer is too large")
 )
 
 // Request is one request, as it goes over the wire.
@@ -55,6 +62,14 @@
 // Close ends the exchange. The connection is kept if the whole answer was read.
 func (a *Answer) Close() { a.ex.close() }
 
+// Discard reads the rest of a short answer, so that its connection can be kept, and closes it.
+func (a *Answer) Discard() {
+	_ = a.ex.c.SetReadDeadline(time.Now().Add(discardTimeout)) // A connection that takes no deadline is closed by ctx.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, discardBytes))
+	_ = a.ex.c.SetReadDeadline(time.Time{})
+	a.Close()
+}
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	pool    *Pool
@@ -110,6 +125,7 @@
 // receive reads heads until one belongs to the request.
 func (e *exchange) receive(method string, mine func(http.Header) bool) error {
 	for range maxStrays + 1 {
+		e.c.headLeft = maxHeadBytes
 		resp, err := http.ReadResponse(e.c.br, &http.Request{Method: method})
 		if err != nil {
 			return err
@@ -117,6 +133,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		e.c.headLeft = -1
 		if mine(resp.Header) {
 			e.resp = resp
 			return nil
