Let the keeper of a rate decide call by call, with a promise of when

Cause: 84 gateways each borrowed ahead, in fractions and at least two tokens at a time.

Change: a gateway asks for the calls that wait. The keeper grants each in the order of arrival, now or at the time when the rate will bring its token, up to half a second; later ones are refused at once with the time when a token will be there. Such tokens count as spent. Only gateways that see eight calls a second or more of a workspace borrow ahead. Tokens of calls that did not run go back to the keeper. The decisions moved to sched/rate (Keeper, Purse), the gateway keeps the messages. A keeper without a configuration crashed in a nil layout, and with the plan asked at home this ended the process: a nil layout has no workspaces.

--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -117,9 +117,8 @@
 
 type (
 	borrowRequest struct {
-		Workspace string       `json:"workspace"`
-		Tokens    float64      `json:"tokens"`
-		Spent     []rate.Spend `json:"spent,omitempty"`
+		Workspace string `json:"workspace"`
+		rate.Ask
 	}
 	chainRequest struct {
 		Workspace string `json:"workspace"`
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/rate"
@@ -15,79 +13,53 @@
 )
 
 const (
-	// borrowAhead is the demand that one loan covers.
-	borrowAhead = 400 * time.Millisecond
-	// borrowEarly is the demand that must be left in the wallet, or else more is borrowed beside the calls.
-	borrowEarly = 150 * time.Millisecond
-	// borrowTimeout bounds one request for a loan.
+	// borrowTimeout bounds one request to a keeper.
 	borrowTimeout = 250 * time.Millisecond
-	// borrowPatience bounds the wait of a call for loans. It covers the time in which a partition changes hands.
-	borrowPatience = 600 * time.Millisecond
-	// planPatience bounds the wait of a program that begins.
-	planPatience = 150 * time.Millisecond
-	borrowPause  = 30 * time.Millisecond
-	// reportEvery is the least time between two reports of what was spent. Until a token is reported it can be put back,
-	// and most refusals come within some ten milliseconds.
-	reportEvery = 150 * time.Millisecond
-	// loanFloor is the least that is borrowed at a time.
-	loanFloor = 2
-	// planRoom is how much more than a workspace's rate the programs that begin may need together. Not every program
-	// takes what it is expected to.
-	planRoom = 1.3
-	// firstExpected is the number of requests that a program is taken to need before any was seen, and counts as much
-	// as firstPrograms programs.
-	firstExpected, firstPrograms = 10, 10
-	// rememberedPrograms is the number of programs after which what was learned counts half.
-	rememberedPrograms = 200
-	// scarcePause is how long after a lack of tokens no program begins. Gateways that lack tokens ask every 30 ms.
-	scarcePause = 200 * time.Millisecond
-	// scarceTime is how long after a lack of tokens nothing is learned about programs; most end within it.
-	scarceTime = 5 * time.Second
-	// plentyLevel is the part of its burst above which a workspace's programs begin whatever the plan says.
-	plentyLevel = 0.15
-	// beginRetry is when a program may come back that its workspace's rate does not hold now.
-	beginRetry = 800 * time.Millisecond
+	// keeperPatience bounds the time in which a call looks for a keeper that answers. It covers the time in which a
+	// partition changes hands.
+	keeperPatience = 600 * time.Millisecond
+	borrowPause    = 30 * time.Millisecond
 	// reservePart is the part of a rate that all gateways together may use without a keeper. It is below the overage
 	// that the promise of rates allows.
-	reservePart = 0.08
+	reservePart = 0.04
 	// answerLife is how long the keeper counts as reachable after an answer.
 	answerLife = 400 * time.Millisecond
-	// warnEvery is the least time between two log lines about missing loans of one workspace.
+	// warnEvery is the least time between two log lines about a missing keeper of one workspace.
 	warnEvery = time.Second
 )
 
-// rates keeps every workspace's rate over all gateways. One partition's holder is the keeper of a workspace's bucket
-// and lends tokens to the gateways that callers reach.
+// rates keeps every workspace's rate over all gateways. One partition's holder is the keeper of a workspace's rate and
+// decides over each call, or lends tokens to gateways that see many.
 type rates struct {
-	gate   *Gate
-	flight singleflight.Group
+	gate *Gate
 
 	mu     sync.Mutex
 	spaces map[string]*space
+	kept   map[string]*kept
 }
 
-// space is what a gateway keeps for one workspace.
+// space is what a gateway keeps for one workspace, or for its programs that begin.
 type space struct {
-	wallet rate.Wallet
-	demand rate.Demand
-	// waiting is the number of calls that wait for a loan.
-	waiting float64
+	purse rate.Purse
 	// reserve is what may be spent while no keeper answers.
 	reserve rate.Bucket
-	// bucket is the whole rate, of use only while kept is held.
-	bucket rate.Bucket
-	kept   *owner.Partition
-	// answered is when the keeper last answered, reported when it was last told what was spent.
-	answered, reported time.Time
-	// scarce is when the bucket last had less than a token for a gateway that asked; of use only while kept is held.
-	scarce time.Time
-	// spent counts the tokens that gateways reported as spent, older ones less; of use only while kept is held.
-	spent float64
-	// warned is when a missing loan was last logged.
-	warned time.Time
+	// answered is when the keeper last answered, warned when a missing answer was last logged.
+	answered, warned time.Time
+	// changed is closed and replaced when an answer comes or fails.
+	changed chan struct{}
+}
+
+// kept is a rate whose keeper is this process.
+type kept struct {
+	keeper rate.Keeper
+	// part is the partition under which it is kept. When the partition came back from another process, the keeper begins
+	// anew.
+	part *owner.Partition
 }
 
-func newRates(g *Gate) *rates { return &rates{gate: g, spaces: make(map[string]*space)} }
+func newRates(g *Gate) *rates {
+	return &rates{gate: g, spaces: make(map[string]*space), kept: make(map[string]*kept)}
+}
 
 // begin takes what a program that begins is expected to need from the workspace's plan, so that programs are not cut
 // short by others that begin.
@@ -95,13 +67,12 @@
 	if w.RatePerSecond <= 0 {
 		return nil
 	}
-	plan := w
-	plan.Name = planPrefix + w.Name
-	if r.acquire(ctx, plan, planPatience) {
+	ok, retryAfter := r.acquire(ctx, w, planPrefix+w.Name)
+	if ok {
 		return nil
 	}
 	return r.gate.refuse(fault.RateExceeded, "plan", "workspace %q has no room for one more program at %v requests per second",
-		w.Name, w.RatePerSecond).WithRetryAfter(beginRetry)
+		w.Name, w.RatePerSecond).WithRetryAfter(retryAfter)
 }
 
 // admit takes one request from the workspace's rate, or says when to come back.
@@ -109,44 +80,51 @@
 	if w.RatePerSecond <= 0 {
 		return nil
 	}
-	if r.acquire(ctx, w, borrowPatience) {
+	ok, retryAfter := r.acquire(ctx, w, w.Name)
+	if ok {
 		return nil
 	}
-	wait := time.Duration(float64(time.Second) * max(1, r.waitingOf(w.Name)) / w.RatePerSecond)
 	return r.gate.refuse(fault.RateExceeded, "rate", "workspace %q is above %v requests per second", w.Name, w.RatePerSecond).
-		WithRetryAfter(max(retrySoon, wait))
+		WithRetryAfter(retryAfter)
 }
 
-// planPrefix begins the names of the buckets for programs that begin.
+// planPrefix begins the names of the spaces for programs that begin.
 const planPrefix = "plan/"
 
-// acquire takes a token, waiting for loans at most for the patience after a first one.
-func (r *rates) acquire(ctx context.Context, w layout.Workspace, patience time.Duration) bool {
-	if ok, low := r.take(w, true); ok {
+// acquire takes a token, which the keeper may promise for a moment later. A call that the keeper refuses is refused at
+// once.
+func (r *rates) acquire(ctx context.Context, w layout.Workspace, name string) (ok bool, retryAfter time.Duration) {
+	if ok, low := r.arrive(name); ok {
 		if low {
-			r.borrowAside(w)
+			r.borrowAside(name)
 		}
-		return true
+		return true, 0
 	}
-	r.wait(w.Name, 1)
-	defer r.wait(w.Name, -1)
-	for until := time.Now().Add(patience); ctx.Err() == nil; {
-		r.borrow(ctx, w)
-		if ok, _ := r.take(w, false); ok {
-			return true
+	r.wait(name, 1)
+	defer r.wait(name, -1)
+	for until := time.Now().Add(keeperPatience); ctx.Err() == nil; {
+		a := r.borrow(ctx, name)
+		if r.takePromised(ctx, name) {
+			return true, 0
 		}
-		if !r.answeredLately(w.Name) && r.takeReserve(w) {
-			return true
+		if a.refused > 0 {
+			return false, a.retryAfter
+		}
+		if !r.answeredLately(name) && r.takeReserve(w, name) {
+			return true, 0
 		}
 		if !time.Now().Before(until) {
-			return false
+			break
+		}
+		if a.answered {
+			continue // The answer was for calls that came before.
 		}
 		select {
 		case <-time.After(borrowPause):
 		case <-ctx.Done():
 		}
 	}
-	return false
+	return false, retrySoon
 }
 
 // release puts back the token of a call that did not run.
@@ -155,49 +133,66 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	s := r.space(w.Name)
-	s.wallet = s.wallet.Return(1, time.Now())
+	s.purse = s.purse.Return(time.Now())
+	owes := s.purse.Owes()
+	r.mu.Unlock()
+	if owes {
+		r.borrowAside(w.Name)
+	}
 }
 
 func (r *rates) space(name string) *space {
 	s, ok := r.spaces[name]
 	if !ok {
-		s = &space{}
+		s = &space{changed: make(chan struct{})}
 		r.spaces[name] = s
 	}
 	return s
 }
 
-func (r *rates) wait(name string, n float64) {
+func (r *rates) wait(name string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.space(name).waiting += n
+	s := r.space(name)
+	s.purse = s.purse.WithWaiting(n)
 }
 
-func (r *rates) waitingOf(name string) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.space(name).waiting
-}
-
-// take spends a token of the wallet, and reports whether the wallet runs low.
-func (r *rates) take(w layout.Workspace, arrival bool) (ok, low bool) {
+// arrive notes a call and spends a token if there is one. Low means that more should be borrowed.
+func (r *rates) arrive(name string) (ok, low bool) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.space(w.Name)
-	if arrival {
-		s.demand = s.demand.WithArrival(now)
+	s := r.space(name)
+	if !strings.HasPrefix(name, planPrefix) {
+		s.purse = s.purse.WithArrival(now)
 	}
-	s.wallet, ok = s.wallet.Take(1, now)
-	if strings.HasPrefix(w.Name, planPrefix) {
-		return ok, false
+	s.purse, ok = s.purse.Take(now)
+	return ok, s.purse.Low(now)
+}
+
+// takePromised takes a token, waiting for those that were promised.
+func (r *rates) takePromised(ctx context.Context, name string) bool {
+	for {
+		now := time.Now()
+		r.mu.Lock()
+		s := r.space(name)
+		var ok bool
+		s.purse, ok = s.purse.Take(now)
+		next, more := s.purse.Next(now)
+		r.mu.Unlock()
+		if ok || !more {
+			return ok
+		}
+		select {
+		case <-time.After(next.Sub(now)):
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return ok, s.wallet.Level(now) < s.demand.PerSecond(now)*borrowEarly.Seconds()
 }
 
-// answeredLately reports whether the keeper answered in the last moments, if only that it has nothing to lend.
+// answeredLately reports whether the keeper answered in the last moments, if only that it has nothing to give.
 func (r *rates) answeredLately(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -205,77 +200,92 @@
 }
 
 // takeReserve spends a token of this gateway's part of the overage.
-func (r *rates) takeReserve(w layout.Workspace) bool {
+func (r *rates) takeReserve(w layout.Workspace, name string) bool {
 	now := time.Now()
 	gates := float64(len(r.gate.owner.Peers()) + 1)
 	q := rate.Quota{Rate: w.RatePerSecond * reservePart / gates, Burst: max(1, w.Burst*reservePart/gates)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.space(w.Name)
+	s := r.space(name)
 	b, ok := s.reserve.Refill(q, now).Take(1)
 	s.reserve = b
 	return ok
 }
 
-// borrowAside borrows without keeping a call waiting.
-func (r *rates) borrowAside(w layout.Workspace) {
+// borrowAside asks the keeper without keeping a call waiting.
+func (r *rates) borrowAside(name string) {
 	r.gate.group.Go(func(ctx context.Context) error {
-		r.borrow(ctx, w)
+		r.borrow(ctx, name)
 		return nil
 	})
 }
 
-// borrow asks the keeper for a part of what the coming demand needs.
-func (r *rates) borrow(ctx context.Context, w layout.Workspace) {
-	_, _, _ = r.flight.Do(w.Name, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), borrowTimeout)
-		defer cancel()
-		r.borrowOnce(ctx, w)
-		return nil, nil
-	})
+// borrowed says how a request to a keeper ended.
+type borrowed struct {
+	// answered says that the keeper answered, refused how many calls it refused.
+	answered   bool
+	refused    int
+	retryAfter time.Duration
 }
 
-func (r *rates) borrowOnce(ctx context.Context, w layout.Workspace) {
-	part := r.keeperPartition(w.Name)
+// borrow asks the keeper for the tokens that calls wait for. If it is being asked for all of them, it waits for an
+// answer instead.
+func (r *rates) borrow(ctx context.Context, name string) borrowed {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), borrowTimeout)
+	defer cancel()
+	part := r.keeperPartition(name)
 	address, self, known := r.gate.owner.AddressOf(part)
 	if !known {
 		r.gate.owner.Look(ctx)
-		return
+		return borrowed{}
 	}
 	asked := time.Now()
+	workspace, begins := strings.CutPrefix(name, planPrefix)
+	q := borrowRequest{Workspace: workspace}
 	r.mu.Lock()
-	s := r.space(w.Name)
-	q := borrowRequest{Workspace: w.Name}
-	q.Tokens = s.waiting
-	if !strings.HasPrefix(w.Name, planPrefix) {
-		q.Tokens = max(loanFloor, s.demand.PerSecond(asked)*borrowAhead.Seconds()+s.waiting-s.wallet.Level(asked))
-	}
-	if asked.Sub(s.reported) >= reportEvery {
-		s.reported = asked
-		s.wallet, q.Spent = s.wallet.Report(int64(part))
-	}
+	s := r.space(name)
+	s.purse, q.Ask = s.purse.Ask(int64(part), asked)
+	changed := s.changed
 	r.mu.Unlock()
-	var loan rate.Loan
-	var err error
-	if self {
-		loan, err = r.gate.lend(ctx, q)
+	if q.Empty() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		return borrowed{answered: true}
+	}
+	q.Begins = begins
+	g, err := r.send(ctx, q, address, self)
+	now := time.Now()
+	r.mu.Lock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if err == nil {
+		s.answered = now
+		s.purse = s.purse.Credit(q.Ask, g, int64(part), asked, now)
 	} else {
-		loan, err = ask[rate.Loan](ctx, r.gate.peers, address, borrowPath, q)
+		s.purse = s.purse.Failed(q.Ask)
 	}
+	r.mu.Unlock()
 	if err != nil {
-		r.noLoan(s, w.Name, address, err)
+		r.noAnswer(s, name, address, err)
 		r.gate.owner.Look(ctx)
-		return
+		return borrowed{}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s.answered = time.Now()
-	s.wallet = s.wallet.WithLoan(loan, int64(part), asked)
+	return borrowed{answered: true, refused: g.Refused, retryAfter: max(retrySoon, g.RetryAfter())}
+}
+
+// send asks the keeper.
+func (r *rates) send(ctx context.Context, q borrowRequest, address string, self bool) (rate.Grant, error) {
+	if self {
+		return r.gate.lend(ctx, q)
+	}
+	return ask[rate.Grant](ctx, r.gate.peers, address, borrowPath, q)
 }
 
-// noLoan counts a loan that could not be had, and logs the first of a series.
-func (r *rates) noLoan(s *space, workspace, keeper string, err error) {
-	r.gate.metrics.Add("rate_no_loan", 1)
+// noAnswer counts a keeper that did not answer, and logs the first time of a series.
+func (r *rates) noAnswer(s *space, workspace, keeper string, err error) {
+	r.gate.metrics.Add("rate_no_keeper", 1)
 	r.mu.Lock()
 	quiet := time.Since(s.warned) < warnEvery
 	if !quiet {
@@ -283,83 +293,45 @@
 	}
 	r.mu.Unlock()
 	if !quiet {
-		r.gate.note("no_loan", "workspace", workspace, "keeper", keeper, "cause", err)
+		r.gate.note("no_keeper", "workspace", workspace, "keeper", keeper, "cause", err)
 	}
 }
 
-func (r *rates) keeperPartition(workspace string) int {
-	return r.gate.owner.PartitionOf("rate/" + strings.TrimPrefix(workspace, planPrefix))
+func (r *rates) keeperPartition(name string) int {
+	return r.gate.owner.PartitionOf("rate/" + strings.TrimPrefix(name, planPrefix))
 }
 
-// lend gives a part of a workspace's rate to a gateway.
-func (g *Gate) lend(_ context.Context, q borrowRequest) (rate.Loan, error) {
+// lend answers a gateway as the keeper of a workspace's rate.
+func (g *Gate) lend(_ context.Context, q borrowRequest) (rate.Grant, error) {
 	p, ok := g.owner.Held(g.rates.keeperPartition(q.Workspace))
 	if !ok {
-		return rate.Loan{}, g.refuse(fault.Moved, "borrow", "the rate of workspace %q is kept elsewhere", q.Workspace)
+		return rate.Grant{}, g.refuse(fault.Moved, "borrow", "the rate of workspace %q is kept elsewhere", q.Workspace)
 	}
-	name, plan := strings.CutPrefix(q.Workspace, planPrefix)
-	w, ok := g.layout.Load().Workspace(name)
+	w, ok := g.layout.Load().Workspace(q.Workspace)
 	if !ok {
-		return rate.Loan{}, g.refuse(fault.UnknownWorkspace, "borrow", "workspace %q is unknown", name)
+		return rate.Grant{}, g.refuse(fault.UnknownWorkspace, "borrow", "workspace %q is unknown", q.Workspace)
 	}
-	return g.rates.lend(p, w, q, plan), nil
+	return g.rates.grant(p, w, q.Ask), nil
 }
 
-func (r *rates) lend(p *owner.Partition, w layout.Workspace, q borrowRequest, plan bool) rate.Loan {
+func (r *rates) grant(p *owner.Partition, w layout.Workspace, a rate.Ask) rate.Grant {
+	if w.RatePerSecond <= 0 {
+		return rate.Grant{Waits: make([]float64, a.Waiting)} // The limit was taken away while the gateway asked.
+	}
 	now := time.Now()
 	quota := rate.Quota{Rate: w.RatePerSecond, Burst: max(1, w.Burst)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	whole := r.space(w.Name)
-	level := 0.0
-	if p.Fresh() && r.gate.settings.FirstStart {
-		level = quota.Burst // Otherwise a predecessor may have lent any of it.
-	}
-	r.keep(whole, p, quota, level, now)
-	whole.bucket = whole.bucket.Refill(quota, now)
-	s := whole
-	if plan {
-		s = r.space(q.Workspace)
-		n := expected(whole.spent, s.spent)
-		plenty := whole.bucket.Level() > plentyLevel*quota.Burst
-		quota = rate.Quota{Rate: quota.Rate * planRoom / n, Burst: max(1, quota.Burst*planRoom/n)}
-		// The plan promises nothing, so a successor may start with all of it.
-		r.keep(s, p, quota, quota.Burst, now)
-		s.bucket = s.bucket.Refill(quota, now)
-		if plenty {
-			s.bucket = s.bucket.Raised(q.Tokens)
-		}
-	}
-	if plan && now.Sub(whole.scarce) < scarcePause {
-		return rate.Loan{} // Programs under way already lack tokens, so the plan expected too little of them.
-	}
-	b, loan := s.bucket.Release(q.Spent).Lend(q.Tokens, now)
-	s.bucket = b
-	if !plan && loan.Tokens < min(1, q.Tokens) {
-		whole.scarce = now
-	}
-	// Programs that are cut short for want of tokens would make others look small.
-	if now.Sub(whole.scarce) > scarceTime {
-		for _, sp := range q.Spent {
-			s.spent += sp.Tokens
+	k, ok := r.kept[w.Name]
+	if !ok || k.part != p {
+		level := 0.0
+		if p.Fresh() && r.gate.settings.FirstStart {
+			level = quota.Burst // Otherwise a predecessor may have granted any of it.
 		}
+		k = &kept{keeper: rate.NewKeeper(quota, level, now), part: p}
+		r.kept[w.Name] = k
 	}
-	if plan && s.spent > rememberedPrograms {
-		s.spent /= 2
-		whole.spent /= 2
-	}
-	return loan
-}
-
-// expected returns the number of requests that a program of a workspace needs.
-func expected(requests, programs float64) float64 {
-	return max(1, (requests+firstExpected*firstPrograms)/(programs+firstPrograms))
-}
-
-// keep begins a bucket with the level given when the partition came into this process's hands.
-func (r *rates) keep(s *space, p *owner.Partition, q rate.Quota, level float64, now time.Time) {
-	if s.kept == p {
-		return
-	}
-	s.kept, s.bucket, s.spent = p, rate.NewBucket(min(level, q.Burst), now), 0
+	var g rate.Grant
+	k.keeper, g = k.keeper.WithQuota(quota).Grant(a, now)
+	return g
 }
--- a/internal/sched/rate/bucket.go
+++ b/internal/sched/rate/bucket.go
@@ -37,6 +37,7 @@
 // Bucket is an owner's share. It is immutable; methods return changed copies. Level plus outstanding loans never
 // passes the burst.
 type Bucket struct {
+	// level is below zero while tokens are promised that the rate has yet to bring.
 	level float64
 	at    time.Time
 	loans []lent
@@ -52,7 +53,13 @@
 		b.at = now
 	}
 	b.loans = slices.DeleteFunc(slices.Clone(b.loans), func(l lent) bool { return !now.Before(l.expires) })
-	b.level = max(0, min(b.level, q.Burst-b.outstanding()))
+	b.level = min(b.level, max(0, q.Burst-b.outstanding()))
+	return b
+}
+
+// Returned puts back n tokens that were taken and not spent. The next Refill bounds the level.
+func (b Bucket) Returned(n float64) Bucket {
+	b.level += n
 	return b
 }
 
@@ -78,13 +85,13 @@
 	if b.level < n-epsilon {
 		return b, false
 	}
-	b.level = max(0, b.level-n)
+	b.level = max(0, b.level-n) // The sum of fractions may be a little below n.
 	return b, true
 }
 
 // Lend removes up to n tokens and counts them against the burst until they are spent or cannot be spent any more.
 func (b Bucket) Lend(n float64, now time.Time) (Bucket, Loan) {
-	n = min(n, b.level)
+	n = min(n, b.level) // Never more than there are now.
 	if n <= epsilon {
 		return b, Loan{}
 	}
--- a/internal/sched/rate/wallet.go
+++ b/internal/sched/rate/wallet.go
@@ -5,11 +5,18 @@
 	"time"
 )
 
+// tokenLife is how long after its time a token that a waiting call was granted may be spent.
+const tokenLife = 150 * time.Millisecond
+
 // borrowed is a loan at its borrower.
 type borrowed struct {
 	Loan
-	owner   int64
+	owner int64
+	// from is when the loan may be spent; zero for at once.
+	from    time.Time
 	expires time.Time
+	// granted says that the keeper counts the loan as spent, so that it is neither reported nor put back.
+	granted bool
 	// spent is what was spent and not reported yet.
 	spent float64
 }
@@ -26,17 +33,47 @@
 	return w
 }
 
-// Level returns the tokens that may still be spent.
+// withToken returns a wallet with a token that a waiting call was granted for the time given.
+func (w Wallet) withToken(from time.Time) Wallet {
+	w.loans = slices.DeleteFunc(slices.Clone(w.loans), func(l borrowed) bool { return l.granted && from.After(l.expires.Add(callWait)) })
+	w.loans = append(w.loans, borrowed{Loan: Loan{Tokens: 1}, from: from, expires: from.Add(tokenLife), granted: true})
+	return w
+}
+
+func (l borrowed) live(now time.Time) bool { return now.Before(l.expires) && !now.Before(l.from) }
+
+// Level returns the tokens that may be spent now.
 func (w Wallet) Level(now time.Time) float64 {
 	var sum float64
 	for _, l := range w.loans {
-		if now.Before(l.expires) {
+		if l.live(now) {
 			sum += l.Tokens
 		}
 	}
 	return sum
 }
 
+// promised returns the number of tokens that may be spent later.
+func (w Wallet) promised(now time.Time) int {
+	n := 0
+	for _, l := range w.loans {
+		if now.Before(l.from) {
+			n++
+		}
+	}
+	return n
+}
+
+// next returns when the next of them may be spent.
+func (w Wallet) next(now time.Time) (at time.Time, ok bool) {
+	for _, l := range w.loans {
+		if now.Before(l.from) && (!ok || l.from.Before(at)) {
+			at, ok = l.from, true
+		}
+	}
+	return at, ok
+}
+
 // Take removes n tokens if there are as many, those that expire first before the others.
 func (w Wallet) Take(n float64, now time.Time) (Wallet, bool) {
 	if w.Level(now) < n-epsilon {
@@ -45,11 +82,15 @@
 	w.loans = slices.DeleteFunc(slices.Clone(w.loans), func(l borrowed) bool { return !now.Before(l.expires) })
 	for i := range w.loans {
 		l := &w.loans[i]
+		if !l.live(now) {
+			continue
+		}
 		used := min(n, l.Tokens)
 		n -= used
 		l.Tokens -= used
 		l.spent += used
 	}
+	w.loans = slices.DeleteFunc(w.loans, func(l borrowed) bool { return l.granted && l.Tokens < epsilon })
 	return w, true
 }
 
@@ -59,7 +100,7 @@
 	w.loans = slices.Clone(w.loans)
 	for i := range w.loans {
 		l := &w.loans[i]
-		if !now.Before(l.expires) {
+		if !now.Before(l.expires) || l.granted {
 			continue
 		}
 		back := min(n, l.spent)
@@ -75,7 +116,7 @@
 	var out []Spend
 	var rest []borrowed
 	for _, l := range w.loans {
-		if l.owner == owner && l.spent > 0 {
+		if l.owner == owner && l.spent > 0 && !l.granted {
 			out = append(out, Spend{Loan: l.ID, Tokens: l.spent})
 			l.spent = 0
 		}
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -149,8 +149,11 @@
 	return l.Workspaces[i], true
 }
 
-// Workspace returns the workspace with the name.
+// Workspace returns the workspace with the name. A nil layout, before the first configuration, has none.
 func (l *Layout) Workspace(name string) (Workspace, bool) {
+	if l == nil {
+		return Workspace{}, false
+	}
 	i := slices.IndexFunc(l.Workspaces, func(w Workspace) bool { return w.Name == name })
 	if i < 0 {
 		return Workspace{}, false
@@ -158,8 +161,11 @@
 	return l.Workspaces[i], true
 }
 
-// Service returns the service with the name.
+// Service returns the service with the name. A nil layout has none.
 func (l *Layout) Service(name string) (Service, bool) {
+	if l == nil {
+		return Service{}, false
+	}
 	i, ok := l.byName[name]
 	if !ok {
 		return Service{}, false
--- a/internal/state/layout/layout_test.go
+++ b/internal/state/layout/layout_test.go
@@ -58,3 +58,13 @@
 	_, ok = l.Holder("")
 	is.True(!ok)
 }
+
+// TestNoLayout asks a layout before the first configuration, as a keeper does that holds a partition before it has one.
+func TestNoLayout(t *testing.T) {
+	is := is.New(t)
+	var l *Layout
+	_, ok := l.Workspace("w")
+	is.True(!ok)
+	_, ok = l.Service("s")
+	is.True(!ok)
+}
