Take the rate of a turn at its home, behind its budget

Cause: each turn of a looping program took a token before its budget was looked at; ten sub-agents at once kept the other programs of a small workspace waiting until the tokens came back. Change: a turn takes its rate at its home once its budget holds it.

--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -68,6 +68,21 @@
 	if f := t.begin(ctx); f != nil {
 		return f
 	}
+	w, _ := g.layout.Load().Workspace(q.Workspace)
+	began := false
+	f := g.paid(ctx, w, func() *fault.Fault {
+		began = true
+		return t.run(ctx, a)
+	})
+	if !began {
+		t.part.End(t.begun, 0)
+	}
+	return f
+}
+
+// run sends the turn to engines until one has answered it.
+func (t *turnRun) run(ctx context.Context, a *attempts) *fault.Fault {
+	g, q := t.gate, t.turnRequest
 	if q.Resumable {
 		a.resumeAfter = q.Call.Turn.ResumeAfter
 	}
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -38,28 +38,39 @@
 // the answer must be broken off.
 func (g *Gate) Serve(ctx context.Context, c *Call, w Reply) *fault.Fault {
 	began := time.Now()
-	j, f := g.admit(ctx, c)
+	j, f := g.admit(c)
 	if f != nil {
 		g.finish(c, j, f, began)
 		return f
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	defer cancel()
-	switch {
-	case j.route.Turns && c.Program != "":
+	if j.turn() {
 		f = g.serveTurn(ctx, j, w)
-	default:
-		f = g.servePlain(ctx, j, w)
+	} else {
+		f = g.paid(ctx, j.workspace, func() *fault.Fault { return g.servePlain(ctx, j, w) })
 	}
+	g.finish(c, j, f, began)
+	return f
+}
+
+// turn reports whether the call is a turn of a program.
+func (j *job) turn() bool { return j.route.Turns && j.call.Program != "" }
+
+// paid runs a call that takes one request from its workspace's rate, and puts it back if the call did not run.
+func (g *Gate) paid(ctx context.Context, w layout.Workspace, run func() *fault.Fault) *fault.Fault {
+	if f := g.rates.admit(ctx, w); f != nil {
+		return f
+	}
+	f := run()
 	if f != nil && f.Outcome == fault.NotRun {
-		g.rates.release(j.workspace)
+		g.rates.release(w)
 	}
-	g.finish(c, j, f, began)
 	return f
 }
 
-// admit checks route, key, size and rate.
-func (g *Gate) admit(ctx context.Context, c *Call) (*job, *fault.Fault) {
+// admit checks route, key and size.
+func (g *Gate) admit(c *Call) (*job, *fault.Fault) {
 	l := g.layout.Load()
 	if l == nil || !g.listed.Load() {
 		return nil, g.refuse(fault.Unready, "admit", "no configuration yet").WithRetryAfter(noKeyRetry)
@@ -92,9 +103,6 @@
 	if !time.Now().Before(j.until) {
 		return j, g.refuse(fault.Overloaded, "admit", "the deadline has passed")
 	}
-	if f := g.rates.admit(ctx, j.workspace); f != nil {
-		return j, f
-	}
 	return j, nil
 }
 
