--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -24,6 +24,8 @@
 	reservePart = 0.04
 	// answerLife is how long the keeper counts as reachable after an answer.
 	answerLife = 400 * time.Millisecond
+	// waitPart is the part of its time that a call may wait for its token.
+	waitPart = 0.5
 	// warnEvery is the least time between two log lines about a missing keeper of one workspace.
 	warnEvery = time.Second
 )
@@ -231,6 +233,7 @@
 // borrow asks the keeper for the tokens that calls wait for. If it is being asked for all of them, it waits for an
 // answer instead.
 func (r *rates) borrow(ctx context.Context, name string) borrowed {
+	longest := waitOf(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), borrowTimeout)
 	defer cancel()
 	part := r.keeperPartition(name)
@@ -254,7 +257,7 @@
 		}
 		return borrowed{answered: true}
 	}
-	q.Begins = begins
+	q.Begins, q.LongestMS = begins, longest
 	g, err := r.send(ctx, q, address, self)
 	now := time.Now()
 	r.mu.Lock()
@@ -275,6 +278,15 @@
 	return borrowed{answered: true, refused: g.Refused, retryAfter: max(retrySoon, g.RetryAfter())}
 }
 
+// waitOf returns how many milliseconds a call may wait for its token; zero if it has no deadline.
+func waitOf(ctx context.Context) float64 {
+	until, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(1, waitPart*float64(time.Until(until))/float64(time.Millisecond))
+}
+
 // send asks the keeper.
 func (r *rates) send(ctx context.Context, q borrowRequest, address string, self bool) (rate.Grant, error) {
 	if self {
--- a/internal/sched/rate/keeper.go
+++ b/internal/sched/rate/keeper.go
@@ -4,7 +4,7 @@
 
 const (
 	// callWait is the longest that the keeper lets a call wait for its token; later ones are refused at once.
-	callWait = 500 * time.Millisecond
+	callWait = time.Second
 	// beginWait is the longest that a program which begins waits.
 	beginWait = 150 * time.Millisecond
 	// scarceWait is the wait of a call from which on the workspace counts as short of tokens.
@@ -34,8 +34,10 @@
 type Ask struct {
 	// Begins says that the tokens are for programs that begin, which the keeper plans apart.
 	Begins bool `json:"begins,omitempty"`
-	// Waiting is the number of calls that wait for a token each.
-	Waiting int `json:"waiting,omitempty"`
+	// Waiting is the number of calls that wait for a token each, LongestMS how long they may wait; zero for the keeper's
+	// own limit.
+	Waiting   int     `json:"waiting,omitempty"`
+	LongestMS float64 `json:"longest_ms,omitempty"`
 	// Ahead is the tokens wanted for calls that have not arrived.
 	Ahead float64 `json:"ahead,omitempty"`
 	// Spent tells what was used of earlier loans, Returned how many tokens were given back unused.
@@ -43,6 +45,14 @@
 	Returned float64 `json:"returned,omitempty"`
 }
 
+// longest returns how long a call may wait where the keeper allows so long.
+func (a Ask) longest(allowed time.Duration) time.Duration {
+	if a.LongestMS <= 0 {
+		return allowed
+	}
+	return min(allowed, time.Duration(a.LongestMS*float64(time.Millisecond)))
+}
+
 // Grant is the keeper's answer.
 type Grant struct {
 	// Waits holds the time after which each token may be spent, in milliseconds, in rising order. A token is void if it
@@ -105,7 +115,7 @@
 	k.whole = k.whole.Release(a.Spent).Returned(a.Returned)
 	learn := now.Sub(k.scarce) > scarceTime
 	var g Grant
-	k.whole, g = k.whole.promise(k.quota.Rate, a.Waiting, callWait)
+	k.whole, g = k.whole.promise(k.quota.Rate, a.Waiting, a.longest(callWait))
 	if g.Refused > 0 || (len(g.Waits) > 0 && g.Waits[len(g.Waits)-1] >= millis(scarceWait)) {
 		k.scarce = now
 	}
@@ -132,7 +142,7 @@
 		k.plan = k.plan.Raised(float64(a.Waiting))
 	}
 	var g Grant
-	k.plan, g = k.plan.promise(q.Rate, a.Waiting, beginWait)
+	k.plan, g = k.plan.promise(q.Rate, a.Waiting, a.longest(beginWait))
 	k.programs += float64(len(g.Waits))
 	if k.programs > rememberedPrograms {
 		k.programs, k.requests = k.programs/2, k.requests/2
--- a/internal/sched/rate/model_test.go
+++ b/internal/sched/rate/model_test.go
@@ -282,3 +282,17 @@
 		}
 	}
 }
+
+// TestNoCallWaitsLongerThanItCan asks for calls that have little time left. They are refused at once, and their tokens
+// stay for others.
+func TestNoCallWaitsLongerThanItCan(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeper(Quota{Rate: 10, Burst: 10}, 0, noon)
+	k, g := k.Grant(Ask{Waiting: 5, LongestMS: 250}, noon)
+	is.Equal(len(g.Waits), 2)
+	is.Equal(g.Refused, 3)
+	is.True(g.RetryAfterMS >= 300)
+	_, g = k.Grant(Ask{Waiting: 1}, noon)
+	is.Equal(len(g.Waits), 1)
+	is.True(g.Waits[0] < 301)
+}
