Let gateways that start during an outage of the store take what peers remember

Ruled out: waiting for the store. Change: settings name seeds; a gateway asks them while it knows no peer; a peer that does not reach the store either answers with feeds and holders as it last read them, and is not taken for one that reaches the store. Readiness needs to know who holds the partitions, not membership.

--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -14,6 +14,9 @@
 	ListenReady string `json:"listen_ready"`
 	// ListenPeers is the IP address and port for other gateways.
 	ListenPeers string `json:"listen_peers"`
+	// Seeds are addresses of other gateways' peers' interface, some of which may be gone. They are asked while no peer is
+	// known.
+	Seeds []string `json:"seeds"`
 	// ListenOperators is the IP address and port for metrics; empty for none.
 	ListenOperators string `json:"listen_operators"`
 	// LogAddress is the IP address and port of the platform's log service.
@@ -49,6 +52,9 @@
 	fs = append(fs, address("listen_callers", g.ListenCallers)...)
 	fs = append(fs, address("listen_ready", g.ListenReady)...)
 	fs = append(fs, address("listen_peers", g.ListenPeers)...)
+	for i, s := range g.Seeds {
+		fs = append(fs, address(fmt.Sprintf("seeds[%d]", i), s)...)
+	}
 	if g.ListenOperators != "" {
 		fs = append(fs, address("listen_operators", g.ListenOperators)...)
 	}
--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -73,8 +73,10 @@
 	Batch      store.Batch      `json:"batch"`
 	Assignment store.Assignment `json:"assignment"`
 	Owners     []store.Owner    `json:"owners,omitempty"`
-	Failure    string           `json:"failure,omitempty"`
-	Cause      string           `json:"cause,omitempty"`
+	// Remembered says that the peer did not reach the store and answered from memory.
+	Remembered bool   `json:"remembered,omitempty"`
+	Failure    string `json:"failure,omitempty"`
+	Cause      string `json:"cause,omitempty"`
 }
 
 // failures maps the store's errors to their names between peers.
@@ -152,7 +154,9 @@
 	for _, address := range d.ways() {
 		b, perr := ask[storeAnswer](ctx, d.peers, address, storePath, q)
 		if perr == nil && definite(b.err()) {
-			d.reached(address)
+			if !b.Remembered {
+				d.reached(address)
+			}
 			return b, b.err()
 		}
 		if ctx.Err() != nil {
--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -161,6 +161,7 @@
 		if f.regained != nil && f.down {
 			f.regained()
 		}
+		f.gate.recall.replace(f.feed, b)
 		f.whole(b)
 		f.next, f.known = b.Next, true
 		return nil
@@ -179,6 +180,7 @@
 	if f.regained != nil && f.down {
 		f.regained()
 	}
+	f.gate.recall.add(f.feed, b)
 	f.part(b)
 	f.next = b.Next
 	return nil
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 	rates   *rates
 	streams *frame.Set
 	readers readers
+	recall  *recall
 	// warm is the engine that holds the cache of each turn, asked the time that programs had when they first wanted to
 	// begin.
 	warm    memo[string]
@@ -86,7 +88,7 @@
 func Start(g *group.Group, s *config.Gateway, d Deps) (*Gate, error) {
 	gt := &Gate{
 		settings: s, codec: d.Codec, read: d.Announcements, lg: d.Log, metrics: d.Metrics, group: g,
-		roster: roster.New(), streams: frame.NewSet(), warm: newMemo[string](warmTurns),
+		roster: roster.New(), recall: newRecall(), streams: frame.NewSet(), warm: newMemo[string](warmTurns),
 		asked: newMemo[time.Duration](askedPrograms), crashes: newCrashes(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
@@ -113,11 +115,14 @@
 	telem.Info(g.lg, event, kv...)
 }
 
+// peerAddresses returns the peers that are known, or those that the settings name.
 func (g *Gate) peerAddresses() []string {
-	if g.owner == nil {
-		return nil
+	if g.owner != nil {
+		if known := g.owner.Peers(); len(known) > 0 {
+			return known
+		}
 	}
-	return g.owner.Peers()
+	return slices.DeleteFunc(slices.Clone(g.settings.Seeds), func(a string) bool { return a == g.settings.ListenPeers })
 }
 
 // housekeeping declares the process ready and drops what is too old.
@@ -132,7 +137,7 @@
 			g.pool.Sweep(now)
 			g.roster.Settle(now)
 		case <-poll.C:
-			if g.listed.Load() && g.layout.Load() != nil && g.owner.Joined() && !g.stop.begun() && !g.ready.On() {
+			if g.listed.Load() && g.layout.Load() != nil && g.owner.Located() && !g.stop.begun() && !g.ready.On() {
 				g.ready.Set(true)
 				g.note("ready", "layout", g.layout.Load().Version, "upstreams", g.roster.Len())
 				poll.Reset(sweepEvery)
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -195,7 +195,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+storePath, answer(g, func(ctx context.Context, q storeRequest) (storeAnswer, error) {
-		return runStore(ctx, direct, q), nil
+		return g.storeForPeer(ctx, direct, q), nil
 	}))
 	return mux
 }
--- a/internal/role/owner/look.go
+++ b/internal/role/owner/look.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"galenaward.example/galenaward/internal/state/store"
 )
 
 // Look reads the owners of all partitions from the store unless they were just read. Callers that look at the same
@@ -29,12 +31,19 @@
 	defer cancel()
 	owners, err := o.backing.Owners(ctx)
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.looked = time.Now()
+	o.mu.Unlock()
 	if err != nil {
 		o.note("owners_unread", "cause", err)
 		return
 	}
+	o.locate(owners)
+}
+
+// locate takes the holders of all partitions.
+func (o *Owner) locate(owners []store.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.members = make(map[int]string, len(owners))
 	for _, w := range owners {
 		o.members[w.Partition] = w.Member
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -154,11 +154,22 @@
 	return out
 }
 
-// Joined reports whether the store has taken this process into the group.
-func (o *Owner) Joined() bool {
+// Located reports whether this process belongs to the group, or knows at least who holds the partitions.
+func (o *Owner) Located() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.joined
+	return o.joined || len(o.members) > 0
+}
+
+// Owners returns who holds the partitions as the store last told.
+func (o *Owner) Owners() []store.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []store.Owner
+	for id, m := range o.members {
+		out = append(out, store.Owner{Partition: id, Member: m})
+	}
+	return out
 }
 
 func addressOf(member string) string {
@@ -215,6 +226,7 @@
 		o.note("owners_unread", "cause", err)
 		return
 	}
+	o.locate(owners)
 	done := ""
 	for _, w := range owners {
 		if addressOf(w.Member) != addressOf(o.member) || w.Member == o.member || w.Member == done {
