Keep rates going while their partition cannot be opened; refuse turns without a home soon

Change: the member to which the store assigned the partition keeps the rates, opened or not; a new keeper starts with what the rate brought since its predecessor must have stopped. A partition without a home for 1.5 s refuses turns after one more try, to come back when outages usually end. Ruled out: serving turns whose history is kept from memory during an outage; a kill of all processes would lose them.

--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -60,6 +60,7 @@
 	asked   memo[time.Duration]
 	sampled sampler
 	crashes *crashes
+	absent  absences
 	policy  admit.Policy
 	ready   serve.Ready
 	stop    stopping
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"galenaward.example/galenaward/internal/plat/fault"
-	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/layout"
 )
@@ -22,6 +21,9 @@
 	// reservePart is the part of a rate that all gateways together may use without a keeper. It is below the overage
 	// that the promise of rates allows.
 	reservePart = 0.04
+	// predecessorTime is how long the former keeper may go on after the store assigned its partition to another process: a
+	// heartbeat of the membership.
+	predecessorTime = 350 * time.Millisecond
 	// answerLife is how long the keeper counts as reachable after an answer.
 	answerLife = 400 * time.Millisecond
 	// waitPart is the part of its time that a call may wait for its token.
@@ -54,9 +56,9 @@
 // kept is a rate whose keeper is this process.
 type kept struct {
 	keeper rate.Keeper
-	// part is the partition under which it is kept. When the partition came back from another process, the keeper begins
-	// anew.
-	part *owner.Partition
+	// since is when the store assigned the workspace's partition to this process. When the partition came back from
+	// another process, the keeper begins anew.
+	since time.Time
 }
 
 func newRates(g *Gate) *rates {
@@ -315,7 +317,7 @@
 
 // lend answers a gateway as the keeper of a workspace's rate.
 func (g *Gate) lend(_ context.Context, q borrowRequest) (rate.Grant, error) {
-	p, ok := g.owner.Held(g.rates.keeperPartition(q.Workspace))
+	since, ok := g.owner.Assigned(g.rates.keeperPartition(q.Workspace))
 	if !ok {
 		return rate.Grant{}, g.refuse(fault.Moved, "borrow", "the rate of workspace %q is kept elsewhere", q.Workspace)
 	}
@@ -323,10 +325,13 @@
 	if !ok {
 		return rate.Grant{}, g.refuse(fault.UnknownWorkspace, "borrow", "workspace %q is unknown", q.Workspace)
 	}
-	return g.rates.grant(p, w, q.Ask), nil
+	p, held := g.owner.Held(g.rates.keeperPartition(q.Workspace))
+	first := held && p.Fresh() && g.settings.FirstStart
+	return g.rates.grant(since, first, w, q.Ask), nil
 }
 
-func (r *rates) grant(p *owner.Partition, w layout.Workspace, a rate.Ask) rate.Grant {
+// grant answers as a keeper since the time given. The first one has no predecessor.
+func (r *rates) grant(since time.Time, first bool, w layout.Workspace, a rate.Ask) rate.Grant {
 	if w.RatePerSecond <= 0 {
 		return rate.Grant{Waits: make([]float64, a.Waiting)} // The limit was taken away while the gateway asked.
 	}
@@ -335,12 +340,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k, ok := r.kept[w.Name]
-	if !ok || k.part != p {
-		level := 0.0
-		if p.Fresh() && r.gate.settings.FirstStart {
-			level = quota.Burst // Otherwise a predecessor may have granted any of it.
+	if !ok || !k.since.Equal(since) {
+		// A predecessor may have granted whatever there was when it last heard from the store.
+		level := quota.Rate * max(0, now.Sub(since)-predecessorTime).Seconds()
+		if first {
+			level = quota.Burst
 		}
-		k = &kept{keeper: rate.NewKeeper(quota, level, now), part: p}
+		k = &kept{keeper: rate.NewKeeper(quota, level, now), since: since}
 		r.kept[w.Name] = k
 	}
 	var g rate.Grant
--- a/internal/role/gate/rates_test.go
+++ b/internal/role/gate/rates_test.go
@@ -9,21 +9,20 @@
 	"github.com/matryer/is"
 
 	"galenaward.example/galenaward/internal/plat/config"
-	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/layout"
 )
 
 // keeper plays the keeper of one workspace's rate without a network.
 type keeper struct {
-	r    *rates
-	part *owner.Partition
-	w    layout.Workspace
+	r     *rates
+	since time.Time
+	w     layout.Workspace
 }
 
 func newKeeper(perSecond float64) *keeper {
 	return &keeper{
-		r: newRates(&Gate{settings: config.DefaultGateway()}), part: &owner.Partition{},
+		r: newRates(&Gate{settings: config.DefaultGateway()}), since: time.Now(),
 		w: layout.Workspace{Name: "hot", RatePerSecond: perSecond, Burst: perSecond},
 	}
 }
@@ -31,14 +30,14 @@
 // filledKeeper plays a keeper whose bucket has had the second that it needs to fill.
 func filledKeeper(perSecond float64) *keeper {
 	k := newKeeper(perSecond)
-	k.r.grant(k.part, k.w, rate.Ask{})
+	k.r.grant(k.since, false, k.w, rate.Ask{})
 	time.Sleep(time.Second)
 	return k
 }
 
 // take asks for one token and returns after which time it may be spent.
 func (k *keeper) take(begins bool) (wait time.Duration, ok bool) {
-	g := k.r.grant(k.part, k.w, rate.Ask{Begins: begins, Waiting: 1})
+	g := k.r.grant(k.since, false, k.w, rate.Ask{Begins: begins, Waiting: 1})
 	if len(g.Waits) == 0 {
 		return 0, false
 	}
@@ -168,7 +167,7 @@
 				is.True(at >= time.Duration(i+1)*100*time.Millisecond-time.Microsecond)
 			}
 			is.True(len(times) >= 10)
-			k.part = &owner.Partition{} // The partition came back after another process held it.
+			k.since = time.Now() // The partition came back after another process held it.
 		}
 	})
 }
@@ -186,7 +185,7 @@
 				var a rate.Ask
 				now := time.Now()
 				p, a = p.WithWaiting(1).Ask(0, now)
-				p = p.Credit(a, k.r.grant(k.part, k.w, a), 0, now, now)
+				p = p.Credit(a, k.r.grant(k.since, false, k.w, a), 0, now, now)
 				var ok bool
 				p, ok = p.WithWaiting(-1).Take(now)
 				switch {
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -80,10 +80,13 @@
 	for {
 		f := g.atHome(ctx, q, out)
 		if f == nil || begun || !retryHome(f) {
+			g.absent.met(q.Partition)
 			return f
 		}
-		if ctx.Err() != nil || time.Now().After(patience) {
-			return g.refuse(fault.Unready, "home", "no home for partition %d: %s", q.Partition, f.Message).WithRetryAfter(retrySoon)
+		long := g.absent.missing(q.Partition, time.Now())
+		if long && q.Try > 1 || ctx.Err() != nil || time.Now().After(patience) {
+			return g.refuse(fault.Unready, "home", "no home for partition %d: %s", q.Partition, f.Message).
+				WithRetryAfter(g.returnTime(long, q))
 		}
 		g.metrics.Add("home_retries", 1)
 		select {
@@ -94,6 +97,15 @@
 	}
 }
 
+// returnTime is when a turn without a home may come back. While a partition has had none for long, the store takes no
+// appends to it.
+func (g *Gate) returnTime(long bool, q *turnRequest) time.Duration {
+	if !long {
+		return retrySoon
+	}
+	return max(retrySoon, time.Duration(detachedPart*float64(q.LeftMS)*float64(time.Millisecond)))
+}
+
 // retryHome reports whether the turn did not begin because its home is elsewhere or cannot be reached.
 func retryHome(f *fault.Fault) bool {
 	return f.Outcome == fault.NotRun && (f.Code == fault.Moved || f.Code == fault.PeerUnreachable)
--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,12 @@
 	}
 	o.joined = true
 	o.generation = max(o.generation, a.Generation)
+	maps.DeleteFunc(o.assigned, func(id int, _ time.Time) bool { return !slices.Contains(a.Partitions, id) })
+	for _, id := range a.Partitions {
+		if _, known := o.assigned[id]; !known {
+			o.assigned[id] = time.Now()
+		}
+	}
 	var lost []*Partition
 	for id, p := range o.held {
 		if !slices.Contains(a.Partitions, id) {
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -66,6 +66,8 @@
 	joined     bool
 	held       map[int]*Partition
 	ending     map[int]context.CancelFunc
+	// assigned is since when the store has assigned each partition to this process, opened or not.
+	assigned map[int]time.Time
 	// members names the holder of each partition as the store last told.
 	members map[int]string
 	looked  time.Time
@@ -100,6 +102,7 @@
 		member: address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		note:   func(string, ...any) {}, cut: func() bool { return false }, held: make(map[int]*Partition),
 		ending: make(map[int]context.CancelFunc), members: make(map[int]string),
+		assigned: make(map[int]time.Time),
 		expelled: make(map[string]time.Time), poked: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -121,6 +124,15 @@
 	return p, ok
 }
 
+// Assigned returns since when the store has assigned the partition to this process. The partition may not be open yet, so
+// this serves only for what is not kept in it.
+func (o *Owner) Assigned(id int) (since time.Time, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since, ok = o.assigned[id]
+	return since, ok
+}
+
 // AllHeld returns the partitions that this process holds.
 func (o *Owner) AllHeld() []*Partition {
 	o.mu.Lock()
@@ -304,6 +316,9 @@
 
 // release hands all partitions over and tells the store.
 func (o *Owner) release(ctx context.Context) {
+	o.mu.Lock()
+	clear(o.assigned)
+	o.mu.Unlock()
 	o.handOver(ctx, o.AllHeld())
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -244,7 +244,7 @@
 		holder, self, ok := a.AddressOf(0)
 		is.True(ok && !self)
 		is.Equal(holder, "127.0.0.1:8") // It still knows where to send turns.
-		is.True(a.Located()) // It stays ready.
+		is.True(a.Located())            // It stays ready.
 
 		cut.Store(false)
 		time.Sleep(time.Second)
