Keep large shared parts of prompts at a third of the engines

Ruled out: lists of who holds what between processes; a hash of part and engine lets all agree. Change: an engine that should keep a part counts as up to 0.2 requests a slot less loaded for prompts that begin with it, by the part's size. What binds: a home prefers engines of its data centre, so each of four reads every part.

--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -72,6 +72,9 @@
 	w := roster.Want{
 		Service: a.service, DataCentre: g.settings.DataCentre, Warm: warm, WarmBonus: bonus, Skip: a.skip,
 	}
+	if parts := a.call.Turn.Parts; len(parts) > 1 {
+		w.Shared, w.SharedTokens = parts[0].ID, parts[0].Tokens
+	}
 	u, ok := g.roster.Pick(w, time.Now())
 	if !ok && len(a.skip) > 0 && a.sent < a.route.MaxAttempts {
 		w.Skip = nil
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -4,10 +4,13 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Upstream is what an upstream announces of itself.
@@ -61,6 +64,14 @@
 	loadLife = time.Second
 	// farPenalty is the load per slot that an upstream in another data centre must be below a near one.
 	farPenalty = 0.25
+	// sharedShare is the part of the engines at which a shared part of prompts should be cached, so that not all of them
+	// read it and keep it in memory.
+	sharedShare = 1.0 / 3
+	// sharedBonus is the load per slot, for each token of the shared part, that another engine must be below such a one.
+	// An engine reads a token in some 10 µs, while other requests wait.
+	sharedBonus = 1.6e-5
+	// maxSharedBonus bounds it below what an engine in another data centre costs.
+	maxSharedBonus = 0.2
 	// jitter is the load per slot within which the choice is random, so that entries do not all choose the same.
 	jitter = 0.04
 )
@@ -200,6 +211,9 @@
 	Warm string
 	// WarmBonus is the requests per slot that another one must be less loaded to be chosen before Warm.
 	WarmBonus float64
+	// Shared is the part of the prompt that many programs share, SharedTokens its size; empty for none.
+	Shared       string
+	SharedTokens int64
 	// Skip are instances that were tried before.
 	Skip []string
 }
@@ -238,6 +252,9 @@
 		if s.Instance == w.Warm {
 			score -= w.WarmBonus
 		}
+		if w.Shared != "" && s.keeps(w.Shared) {
+			score -= min(maxSharedBonus, sharedBonus*float64(w.SharedTokens))
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -245,6 +262,12 @@
 	return best
 }
 
+// keeps reports whether the engine is one of those at which the shared part of prompts should be cached. All processes
+// agree on it without a word.
+func (s *state) keeps(part string) bool {
+	return float64(xxhash.Sum64String(part+"\x00"+s.Instance)) < sharedShare*math.MaxUint64
+}
+
 // load is the requests per slot.
 func (s *state) load(now time.Time) float64 {
 	n := s.own
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -145,3 +145,47 @@
 	tb.Update(u)
 	is.True(picked())
 }
+
+// TestLargeSharedPartsStandAtFewEngines is the pattern of long prompts that many programs begin with: each is cached at
+// some of the engines, all processes agree at which, and load still decides.
+func TestLargeSharedPartsStandAtFewEngines(t *testing.T) {
+	is := is.New(t)
+	const engines, prompts, programs = 18, 6, 100
+	tables := []*Table{New(), New()}
+	for _, tb := range tables {
+		for i := range engines {
+			tb.Update(up(fmt.Sprint("e", i)))
+		}
+	}
+	readings := func(tokens int64) (pairs, busiest int) {
+		seen := make(map[string]bool)
+		for p := range prompts {
+			picked := make(map[string]int)
+			for i := range programs {
+				tb := tables[i%len(tables)]
+				u, ok := tb.Pick(Want{Service: "s", DataCentre: "a", Shared: fmt.Sprint("part", p), SharedTokens: tokens}, now)
+				is.True(ok)
+				tb.Done(u.Instance, Answered, now)
+				seen[fmt.Sprint(p, u.Instance)] = true
+				picked[u.Instance]++
+				busiest = max(busiest, picked[u.Instance])
+			}
+		}
+		return len(seen), busiest
+	}
+	few, _ := readings(12_600)
+	all, _ := readings(100)
+	is.True(few <= engines*prompts/2)
+	is.True(all > engines*prompts*9/10)
+
+	held := 0 // Load goes before a cache.
+	tb := tables[0]
+	picked := make(map[string]int)
+	for range engines * 5 {
+		u, ok := tb.Pick(Want{Service: "s", DataCentre: "a", Shared: "part", SharedTokens: 12_600}, now)
+		is.True(ok)
+		picked[u.Instance]++
+		held = max(held, picked[u.Instance])
+	}
+	is.True(held <= 8) // Five each in the mean, of ten slots.
+}
