Weigh how slow an upstream is with its load

Cause: only broken answers counted against an upstream; one that turned five times slower and answered healthily got as much as others. Ruled out: hedging of lookups, since a worker that is left while it works is work lost. Change: what a request of a route or an event of a service's streams usually takes is learned, and each upstream's times as multiples of it; an upstream counts as the time to expect, its load included. Slowness halves in four seconds, so that the upstream is tried again.

What is not done: a gateway learns from its own requests only, which at 84 gateways is little.

--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -61,6 +61,7 @@
 	sampled sampler
 	crashes *crashes
 	absent  absences
+	paces   paces
 	policy  admit.Policy
 	ready   serve.Ready
 	stop    stopping
--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -32,6 +32,8 @@
 	streamBytes = 1 << 20
 	// recordMargin is the room in a turn's record for its names and lengths.
 	recordMargin = 4 << 10
+	// leastTimed is the number of events from which on a stream tells how fast its engine is.
+	leastTimed = 3
 	// chainTimeout bounds the search for a chain in other partitions.
 	chainTimeout = 500 * time.Millisecond
 )
@@ -215,7 +217,9 @@
 	if err := t.head(ans); err != nil {
 		return false, t.abandon(u, err)
 	}
+	from, began := t.scan.Count(), time.Now()
 	err := t.body(ans)
+	t.timed(u, t.scan.Count()-from, time.Since(began), err == nil)
 	var gone *goneError
 	switch {
 	case err == nil:
@@ -234,6 +238,19 @@
 	return false, t.finish(ctx, ans.Status)
 }
 
+// timed notes how long an engine took for its events. The first one is there when the answer begins.
+func (t *turnRun) timed(u roster.Upstream, events int64, took time.Duration, whole bool) {
+	if events < leastTimed {
+		return
+	}
+	g, gap := t.gate, took/time.Duration(events-1)
+	if whole {
+		g.roster.Timed(u.Instance, g.paces.took(t.Service, gap), time.Now())
+		return
+	}
+	g.roster.Waited(u.Instance, g.paces.ratio(t.Service, gap), time.Now())
+}
+
 // head passes the first engine's head on; later engines only go on with its body.
 func (t *turnRun) head(ans *httpc.Answer) error {
 	if t.headed {
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -100,8 +100,12 @@
 
 // tryPlain sends the call to one upstream. Done means that the caller has its answer, or part of it.
 func (g *Gate) tryPlain(ctx context.Context, a *attempts, u roster.Upstream, w Reply) (done bool, f *fault.Fault) {
+	began := time.Now()
 	ans, ok := g.exchange(ctx, a, u, a.call.Body, -1)
 	if !ok {
+		if a.ran {
+			g.roster.Waited(u.Instance, g.paces.ratio(a.route.Name, time.Since(began)), time.Now())
+		}
 		return false, nil
 	}
 	defer ans.Close()
@@ -117,6 +121,7 @@
 	h := g.codec.Backward(ans.Header)
 	if len(head) < heldBytes {
 		g.ended(a.job, u)
+		g.roster.Timed(u.Instance, g.paces.took(a.route.Name, time.Since(began)), time.Now())
 		w.Head(ans.Status, h, int64(len(head)))
 		if err := w.Write(head); err != nil {
 			return true, g.callerGone(err)
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -88,6 +88,7 @@
 	failures int
 	// avoid is when the upstream may be chosen again.
 	avoid time.Time
+	slow  slowness
 	// answers says that the upstream takes requests although the last answer was broken: it is chosen rather than none.
 	answers bool
 	// missing is when the announcement vanished during an outage of the store; zero if it stands.
@@ -245,7 +246,8 @@
 		if now.Before(s.avoid) && !(broken && s.answers) {
 			continue
 		}
-		score := s.load(now) + jitter*rand.Float64()
+		// The time to expect: that of the request itself and of those before it.
+		score := (1+s.load(now))*s.slow.factor(now) - 1 + jitter*rand.Float64()
 		if s.DataCentre != w.DataCentre {
 			score += farPenalty
 		}
--- /dev/null
+++ b/internal/sched/roster/slow.go
@@ -0,0 +1,82 @@
+package roster
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowWeight is the weight of the newest time in an upstream's slowness.
+	slowWeight = 0.2
+	// slowHalfLife is the time in which slowness loses half of what it is above the usual, so that the upstream is tried
+	// again with a little.
+	slowHalfLife = 4 * time.Second
+	// slowBand is how much slower than usual an upstream may seem before that counts, since requests differ.
+	slowBand = 0.6
+	// mostSlow bounds one time, so that a single one does not shut an upstream out.
+	mostSlow = 8
+	// paceWeight is the weight of the newest time in what is expected.
+	paceWeight = 0.03
+)
+
+// slowness says how many times longer than expected an upstream takes. The zero value is the usual.
+type slowness struct {
+	// above is how much more than once the expected time it takes, as of at.
+	above float64
+	at    time.Time
+}
+
+// withTime returns the slowness after one more time, as a multiple of the expected one.
+func (s slowness) withTime(ratio float64, now time.Time) slowness {
+	above := s.decayed(now)
+	above += slowWeight * (min(ratio, mostSlow) - 1 - above)
+	return slowness{above: above, at: now}
+}
+
+func (s slowness) decayed(now time.Time) float64 {
+	if s.at.IsZero() {
+		return 0
+	}
+	return s.above * math.Exp2(-now.Sub(s.at).Seconds()/slowHalfLife.Seconds())
+}
+
+// factor returns the multiple of the expected time to reckon with; at least 1.
+func (s slowness) factor(now time.Time) float64 { return 1 + max(0, s.decayed(now)-slowBand) }
+
+// Pace is what a kind of request usually takes, over all upstreams. The zero value knows nothing. It is immutable.
+type Pace struct{ usual time.Duration }
+
+// With returns the pace after one more time.
+func (p Pace) With(took time.Duration) Pace {
+	if p.usual == 0 {
+		return Pace{took}
+	}
+	return Pace{p.usual + time.Duration(paceWeight*float64(took-p.usual))}
+}
+
+// Ratio returns the time as a multiple of the usual one, 1 while nothing is known.
+func (p Pace) Ratio(took time.Duration) float64 {
+	if p.usual <= 0 {
+		return 1
+	}
+	return float64(took) / float64(p.usual)
+}
+
+// Timed notes how long an upstream took, as a multiple of what such a request usually takes.
+func (t *Table) Timed(instance string, ratio float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.m[instance]; ok {
+		s.slow = s.slow.withTime(ratio, now)
+	}
+}
+
+// Waited notes that an upstream had not answered after so long; it only counts if that is already more than it usually
+// takes.
+func (t *Table) Waited(instance string, ratio float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.m[instance]; ok && ratio-1 > s.slow.decayed(now) {
+		s.slow = s.slow.withTime(ratio, now)
+	}
+}
