Tell when an upstream turns slow and when it is quick again

Logs: upstream_slow and upstream_usual with the kind, the time and the factor that is reckoned with, once a change.

--- a/internal/role/gate/home.go
+++ b/internal/role/gate/home.go
@@ -243,12 +243,7 @@
 	if events < leastTimed {
 		return
 	}
-	g, gap := t.gate, took/time.Duration(events-1)
-	if whole {
-		g.roster.Timed(u.Instance, g.paces.took(t.Service, gap), time.Now())
-		return
-	}
-	g.roster.Waited(u.Instance, g.paces.ratio(t.Service, gap), time.Now())
+	t.gate.timed(u, t.Service, took/time.Duration(events-1), whole)
 }
 
 // head passes the first engine's head on; later engines only go on with its body.
--- a/internal/role/gate/paces.go
+++ b/internal/role/gate/paces.go
@@ -32,3 +32,22 @@
 	defer p.mu.Unlock()
 	return p.m[kind].Ratio(d)
 }
+
+// timed notes how long an upstream took for a request of a kind, or waited for it if it did not end.
+func (g *Gate) timed(u roster.Upstream, kind string, took time.Duration, ended bool) {
+	var c roster.Change
+	var changed bool
+	if ended {
+		c, changed = g.roster.Timed(u.Instance, g.paces.took(kind, took), time.Now())
+	} else {
+		c, changed = g.roster.Waited(u.Instance, g.paces.ratio(kind, took), time.Now())
+	}
+	if !changed {
+		return
+	}
+	event := "upstream_usual"
+	if c.Slow {
+		event = "upstream_slow"
+	}
+	g.note(event, "upstream", u.Instance, "address", u.Address, "kind", kind, "took_ms", took.Milliseconds(), "factor", c.Factor)
+}
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -104,7 +104,7 @@
 	ans, ok := g.exchange(ctx, a, u, a.call.Body, -1)
 	if !ok {
 		if a.ran {
-			g.roster.Waited(u.Instance, g.paces.ratio(a.route.Name, time.Since(began)), time.Now())
+			g.timed(u, a.route.Name, time.Since(began), false)
 		}
 		return false, nil
 	}
@@ -121,7 +121,7 @@
 	h := g.codec.Backward(ans.Header)
 	if len(head) < heldBytes {
 		g.ended(a.job, u)
-		g.roster.Timed(u.Instance, g.paces.took(a.route.Name, time.Since(began)), time.Now())
+		g.timed(u, a.route.Name, time.Since(began), true)
 		w.Head(ans.Status, h, int64(len(head)))
 		if err := w.Write(head); err != nil {
 			return true, g.callerGone(err)
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -89,6 +89,8 @@
 	// avoid is when the upstream may be chosen again.
 	avoid time.Time
 	slow  slowness
+	// toldSlow says that the upstream was last told of as slow.
+	toldSlow bool
 	// answers says that the upstream takes requests although the last answer was broken: it is chosen rather than none.
 	answers bool
 	// missing is when the announcement vanished during an outage of the store; zero if it stands.
--- a/internal/sched/roster/slow.go
+++ b/internal/sched/roster/slow.go
@@ -15,6 +15,9 @@
 	slowBand = 0.6
 	// mostSlow bounds one time, so that a single one does not shut an upstream out.
 	mostSlow = 8
+	// toldSlow is the multiple of the expected time from which on an upstream is told of as slow, toldUsual the one below
+	// which it is so no longer.
+	toldSlow, toldUsual = 2.0, 1.2
 	// paceWeight is the weight of the newest time in what is expected.
 	paceWeight = 0.03
 )
@@ -62,21 +65,44 @@
 	return float64(took) / float64(p.usual)
 }
 
-// Timed notes how long an upstream took, as a multiple of what such a request usually takes.
-func (t *Table) Timed(instance string, ratio float64, now time.Time) {
+// Change is a change of what is believed of an upstream's speed.
+type Change struct {
+	// Slow says that the upstream counts as slow now; otherwise it did and does no longer.
+	Slow bool
+	// Factor is the multiple of the expected time that is reckoned with.
+	Factor float64
+}
+
+// Timed notes how long an upstream took, as a multiple of what such a request usually takes. It returns a change worth
+// telling, or false.
+func (t *Table) Timed(instance string, ratio float64, now time.Time) (Change, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.m[instance]; ok {
-		s.slow = s.slow.withTime(ratio, now)
+	s, ok := t.m[instance]
+	if !ok {
+		return Change{}, false
 	}
+	return s.timed(ratio, now)
 }
 
 // Waited notes that an upstream had not answered after so long; it only counts if that is already more than it usually
 // takes.
-func (t *Table) Waited(instance string, ratio float64, now time.Time) {
+func (t *Table) Waited(instance string, ratio float64, now time.Time) (Change, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.m[instance]; ok && ratio-1 > s.slow.decayed(now) {
-		s.slow = s.slow.withTime(ratio, now)
+	s, ok := t.m[instance]
+	if !ok || ratio-1 <= s.slow.decayed(now) {
+		return Change{}, false
+	}
+	return s.timed(ratio, now)
+}
+
+func (s *state) timed(ratio float64, now time.Time) (Change, bool) {
+	s.slow = s.slow.withTime(ratio, now)
+	f := s.slow.factor(now)
+	if s.toldSlow && f < toldUsual || !s.toldSlow && f > toldSlow {
+		s.toldSlow = !s.toldSlow
+		return Change{Slow: s.toldSlow, Factor: f}, true
 	}
+	return Change{}, false
 }
--- a/internal/sched/roster/slow_test.go
+++ b/internal/sched/roster/slow_test.go
@@ -87,3 +87,28 @@
 	is.True(picked["quick"] > 2*picked["slow"])
 	is.True(picked["slow"] > 0)
 }
+
+// TestChangesOfSpeedAreToldOnce checks that a belief is told when it changes, not with each time.
+func TestChangesOfSpeedAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	tb := New()
+	tb.Update(up("x"))
+	var told []Change
+	tell := func(c Change, ok bool) {
+		if ok {
+			told = append(told, c)
+		}
+	}
+	for range 20 {
+		tell(tb.Timed("x", 6, now))
+	}
+	for range 20 {
+		tell(tb.Waited("x", 1, now)) // A short wait tells nothing.
+	}
+	for range 20 {
+		tell(tb.Timed("x", 1, now))
+	}
+	is.Equal(len(told), 2)
+	is.True(told[0].Slow)
+	is.True(!told[1].Slow)
+}
