--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -27,7 +27,7 @@
 	// answerLife is how long the keeper counts as reachable after an answer.
 	answerLife = 400 * time.Millisecond
 	// waitPart is the part of its time that a call may wait for its token.
-	waitPart = 0.5
+	waitPart = 0.7
 	// warnEvery is the least time between two log lines about a missing keeper of one workspace.
 	warnEvery = time.Second
 )
