Begin a program out of plan only on three tokens or more

Cause: in a workspace of 5 calls a second, 0.15 of the burst is less than one token, so programs began whatever the plan said while those under way used the rate up.

--- a/internal/sched/rate/keeper.go
+++ b/internal/sched/rate/keeper.go
@@ -21,6 +21,8 @@
 	planRoom = 1.3
 	// plentyLevel is the part of its burst above which a workspace's programs begin whatever the plan says.
 	plentyLevel = 0.15
+	// plentyTokens is the number of tokens that must be there at least, which a program spends in its first moments.
+	plentyTokens = 3
 	// firstExpected is the number of requests that a program is taken to need before any was seen, and counts as much
 	// as firstPrograms programs.
 	firstExpected, firstPrograms = 10, 10
@@ -138,7 +140,7 @@
 	}
 	q := k.planQuota()
 	k.plan = k.plan.Refill(q, now)
-	if k.whole.Level() > plentyLevel*k.quota.Burst {
+	if k.whole.Level() > max(plentyTokens, plentyLevel*k.quota.Burst) {
 		k.plan = k.plan.Raised(float64(a.Waiting))
 	}
 	var g Grant
