--- a/cmd/galenaward/hangup_test.go
+++ b/cmd/galenaward/hangup_test.go
@@ -20,7 +20,7 @@
 func gatewaySettings(t *testing.T, addresses []string, memory int) string {
 	t.Helper()
 	return fmt.Sprintf(`{"vm": "vm-1", "data_centre": "a", "listen_callers": %q, "listen_ready": %q, "listen_peers": %q,
-  "log_address": "127.0.0.1:1", "memory_mb": %d}`, addresses[0], addresses[1], addresses[2], memory)
+  "log_address": "127.0.0.1:1", "seeds": ["127.0.0.1:2", %q], "memory_mb": %d}`, addresses[0], addresses[1], addresses[2], addresses[0], memory)
 }
 
 func freeAddresses(t *testing.T, n int) []string {
--- a/internal/cmdl/daemon/reload.go
+++ b/internal/cmdl/daemon/reload.go
@@ -90,7 +90,7 @@
 	var out []string
 	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range va.NumField() {
-		if !va.Field(i).Equal(vb.Field(i)) {
+		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
 			out = append(out, va.Type().Field(i).Tag.Get("json"))
 		}
 	}
--- a/internal/cmdl/daemon/reload_test.go
+++ b/internal/cmdl/daemon/reload_test.go
@@ -23,6 +23,7 @@
 		logged string
 	}{
 		{"changed field", goodSettings, true, `"changed":"memory_mb"`},
+		{"changed list", strings.Replace(goodSettings, `"memory_mb": 200`, `"memory_mb": 256, "seeds": ["127.0.0.1:2"]`, 1), true, `"changed":"seeds"`},
 		{"same file", strings.Replace(goodSettings, "200", "256", 1), false, `"changed":""`},
 		{"unknown field", strings.Replace(goodSettings, "vm", "vmm", 1), false, `field \"vmm\"`},
 		{"value out of range", strings.Replace(goodSettings, "200", "2", 1), false, `memory_mb`},
