Cover two turns to come with each record of a program without kept history

Cause: in an outage of the store such a program goes on only as far as its last record covers, which was one turn. Ruled out: beginning programs without a record; a kill of all processes would forget what they spent.

--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -75,6 +75,19 @@
 	Recorded bool
 }
 
+// aheadTurns is the number of turns to come that a record of a program without kept history covers.
+const aheadTurns = 2
+
+// ahead returns how many tokens beyond those in use a record should cover. A takeover counts them as spent, so at most half
+// of what is left is put at risk.
+func (c Claim) ahead(used int64) int64 {
+	n := aheadTurns * c.Most
+	if c.Budget > 0 {
+		n = min(n, (c.Budget-used)/2)
+	}
+	return n
+}
+
 // Covered reports whether an earlier record covers the turn, so that Reserve returns none.
 func (l *Ledger) Covered(c Claim) bool {
 	p := l.programs[c.Program]
@@ -98,7 +111,7 @@
 	}
 	p.Ceiling = used
 	if !c.Recorded {
-		p.Ceiling += c.Most
+		p.Ceiling += c.ahead(used)
 	}
 	l.programs[c.Program] = p
 	r := programRecord(c.Program, p)
--- a/internal/state/turns/ledger_test.go
+++ b/internal/state/turns/ledger_test.go
@@ -329,3 +329,25 @@
 		}
 	}
 }
+
+// TestProgramsGoOnWithoutNewRecords is the pattern of an outage of the store in the middle of a program: the turns that are
+// covered go on, and after a takeover at least half of the budget that was left is still there.
+func TestProgramsGoOnWithoutNewRecords(t *testing.T) {
+	is := is.New(t)
+	log, l := newest{}, New()
+	c := Claim{Program: Ref{"shop", "p1"}, Budget: 1000, Most: 100, Keep: time.Minute}
+	rec, err := l.Reserve(c, start)
+	is.NoErr(err)
+	log.apply(*rec)
+	l.Cancel(c, 50)
+	covered := 0
+	for ; l.Covered(c); covered++ {
+		_, err := l.Reserve(c, start)
+		is.NoErr(err)
+		l.Cancel(c, 50)
+	}
+	is.True(covered >= 2)
+	after := log.restore(t)
+	is.True(after.Program(c.Program).Spent >= int64(50*(covered+1)))
+	is.True(after.Program(c.Program).Spent <= 550)
+}
