--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -97,10 +97,14 @@
 		if !ok {
 			continue
 		}
-		if gone := g.roster.Update(u); gone != "" {
+		gone, drains := g.roster.Update(u)
+		if gone != "" {
 			g.pool.Forget(gone)
 			g.note("upstream_restarted", "upstream", r.Key, "address", gone)
 		}
+		if drains {
+			g.note("upstream_draining", "upstream", r.Key, "address", u.Address)
+		}
 	}
 }
 
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -139,8 +139,9 @@
 	t.settled = until
 }
 
-// Update takes the newest announcement of an upstream and returns the address of an earlier start that is gone.
-func (t *Table) Update(u Upstream) (gone string) {
+// Update takes the newest announcement of an upstream. It returns the address of an earlier start that is gone, and
+// whether the upstream begins to drain.
+func (t *Table) Update(u Upstream) (gone string, drains bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.m[u.Instance]
@@ -153,9 +154,10 @@
 	}
 	_, leaving := t.leaving[start{u.Instance, u.Born}]
 	u.Draining = u.Draining || leaving
+	drains = u.Draining && !s.Draining
 	s.Upstream = u
 	s.missing = time.Time{}
-	return gone
+	return gone, drains
 }
 
 // Remove takes the end of an announcement and returns the address if the upstream is gone.
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -114,7 +114,8 @@
 	tb.Done("x", Unreachable, now)
 	u := up("x")
 	u.Born = 2
-	is.Equal(tb.Update(u), "x:1")
+	gone, _ := tb.Update(u)
+	is.Equal(gone, "x:1")
 	_, ok := tb.Pick(Want{Service: "s"}, now)
 	is.True(ok)
 }
