Weigh an upstream's failures with its load, and tell the homes

Ruled out: ejection; a weight never leaves a service without upstreams. Change: the share of failures, which halves in five seconds, counts as up to four requests a slot more; past 0.45 the homes are told, which take it as one half. A stream that may be resumed tries another engine. Model test: two of twelve that fail all get 0.3% of the calls, 76.9% before.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -107,23 +107,24 @@
 		}
 		g.crashes.take(n, time.Now())
 		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", j.call.ID, "fingerprint", n.Fingerprint)
-		g.tellCrash(ctx, n)
+		// The request must not try its luck through peers.
+		if err := tell(ctx, g, crashPath, n); err != nil {
+			g.note("crash_not_told", "fingerprint", n.Fingerprint, "cause", err)
+		}
 		return nil
 	})
 }
 
-// tellCrash tells the peers of a crash, so that the request does not try its luck through them.
-func (g *Gate) tellCrash(ctx context.Context, n crashNotice) {
+// tell sends a notice to all peers that hold partitions and returns the first error.
+func tell[N any](ctx context.Context, g *Gate, path string, notice N) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	var eg errgroup.Group
 	for _, address := range g.owner.Peers() {
 		eg.Go(func() error {
-			_, err := ask[struct{}](ctx, g.peers, address, crashPath, n)
+			_, err := ask[struct{}](ctx, g.peers, address, path, notice)
 			return err
 		})
 	}
-	if err := eg.Wait(); err != nil {
-		g.note("crash_not_told", "fingerprint", n.Fingerprint, "cause", err)
-	}
+	return eg.Wait()
 }
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/sched/rate"
@@ -28,6 +27,7 @@
 	storePath  = "/v1/store"
 	pokePath   = "/v1/poke"
 	crashPath  = "/v1/crash"
+	failPath   = "/v1/failing"
 )
 
 const (
@@ -163,16 +163,7 @@
 
 // pokePeers tells the peers that the group changes.
 func (g *Gate) pokePeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	var eg errgroup.Group
-	for _, address := range g.owner.Peers() {
-		eg.Go(func() error {
-			_, err := ask[struct{}](ctx, g.peers, address, pokePath, struct{}{})
-			return err
-		})
-	}
-	if err := eg.Wait(); err != nil {
+	if err := tell(ctx, g, pokePath, struct{}{}); err != nil {
 		g.note("peer_not_poked", "cause", err) // Its next heartbeat shows the change as well.
 	}
 }
@@ -194,6 +185,10 @@
 		g.crashes.take(n, time.Now())
 		return struct{}{}, nil
 	}))
+	mux.Handle("POST "+failPath, answer(g, func(_ context.Context, n failNotice) (struct{}, error) {
+		g.roster.HeardFailing(n.Instance, n.Born, time.Now())
+		return struct{}{}, nil
+	}))
 	mux.Handle("POST "+storePath, answer(g, func(ctx context.Context, q storeRequest) (storeAnswer, error) {
 		return g.storeForPeer(ctx, direct, q), nil
 	}))
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -111,7 +111,7 @@
 	defer ans.Close()
 	if a.route.Kind == layout.Streaming {
 		w.Head(ans.Status, g.codec.Backward(ans.Header), -1)
-		return true, g.passOn(ctx, a, u, w, ans.Body)
+		return true, g.passOn(ctx, a, u, w, ans.Status, ans.Body)
 	}
 	head, err := io.ReadAll(io.LimitReader(ans.Body, heldBytes))
 	if err != nil {
@@ -120,7 +120,7 @@
 	}
 	h := g.codec.Backward(ans.Header)
 	if len(head) < heldBytes {
-		g.ended(a.job, u)
+		g.ended(a.job, u, ans.Status)
 		g.timed(u, a.route.Name, time.Since(began), true)
 		w.Head(ans.Status, h, int64(len(head)))
 		if err := w.Write(head); err != nil {
@@ -129,11 +129,11 @@
 		return true, nil
 	}
 	w.Head(ans.Status, h, -1)
-	return true, g.passOn(ctx, a, u, w, io.MultiReader(bytes.NewReader(head), ans.Body))
+	return true, g.passOn(ctx, a, u, w, ans.Status, io.MultiReader(bytes.NewReader(head), ans.Body))
 }
 
 // passOn copies a long answer as it arrives.
-func (g *Gate) passOn(ctx context.Context, a *attempts, u roster.Upstream, w Reply, r io.Reader) *fault.Fault {
+func (g *Gate) passOn(ctx context.Context, a *attempts, u roster.Upstream, w Reply, status int, r io.Reader) *fault.Fault {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := r.Read(buf)
@@ -144,7 +144,7 @@
 			}
 		}
 		if err == io.EOF {
-			g.ended(a.job, u)
+			g.ended(a.job, u, status)
 			return nil
 		}
 		if err != nil {
@@ -217,13 +217,17 @@
 	if ctx.Err() != nil {
 		o = roster.Abandoned
 	}
-	g.roster.Done(u.Instance, o, time.Now())
+	g.done(u, o)
 	g.note("try_failed", "request", a.call.ID, "upstream", u.Instance, "address", u.Address, "sent", a.sent,
 		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "cause", err)
 }
 
 // ended notes that the upstream's whole answer arrived.
-func (g *Gate) ended(j *job, u roster.Upstream) {
+func (g *Gate) ended(j *job, u roster.Upstream, status int) {
 	g.crashes.served(j.fingerprint())
-	g.roster.Done(u.Instance, roster.Answered, time.Now())
+	o := roster.Answered
+	if status >= http.StatusInternalServerError {
+		o = roster.Failed
+	}
+	g.done(u, o)
 }
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -33,6 +33,11 @@
 		g.outcome(ctx, a, u, roster.Abandoned, err)
 		return false, g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
 	}
+	if !t.headed && t.Resumable && ans.Status >= http.StatusInternalServerError && a.more() && ctx.Err() == nil {
+		a.last = errors.Newf("upstream %s answered %d", u.Instance, ans.Status)
+		g.ended(a.job, u, ans.Status)
+		return true, nil
+	}
 	if t.headed && ans.Status != http.StatusOK {
 		g.broken(ctx, a, u, errors.Newf("status %d in place of the rest of a stream", ans.Status))
 		return true, nil
@@ -56,7 +61,7 @@
 		t.part.End(t.begun, t.tokens())
 		return false, g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.Count(), err).WithOutcome(fault.Ran)
 	}
-	g.ended(a.job, u)
+	g.ended(a.job, u, ans.Status)
 	g.warmed(t.turnRequest, u.Instance)
 	return false, t.finish(ctx, ans.Status)
 }
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -43,6 +43,8 @@
 	Rejected
 	// Broken means that the answer did not arrive whole.
 	Broken
+	// Failed means that a whole answer arrived which says that the upstream failed.
+	Failed
 	// Abandoned means that this side ended the exchange.
 	Abandoned
 	// Misdirected means that another instance has the address.
@@ -89,8 +91,10 @@
 	// avoid is when the upstream may be chosen again.
 	avoid time.Time
 	slow  slowness
-	// toldSlow says that the upstream was last told of as slow.
-	toldSlow bool
+	// failing is the share of answers that were failures.
+	failing fading
+	// toldSlow and toldFailing say that the upstream was last told of as such.
+	toldSlow, toldFailing bool
 	// answers says that the upstream takes requests although the last answer was broken: it is chosen rather than none.
 	answers bool
 	// missing is when the announcement vanished during an outage of the store; zero if it stands.
@@ -252,6 +256,7 @@
 		}
 		// The time to expect: that of the request itself and of those before it.
 		score := (1+s.load(now))*s.slow.factor(now) - 1 + jitter*rand.Float64()
+		score += s.penalty(now)
 		if s.DataCentre != w.DataCentre {
 			score += farPenalty
 		}
@@ -292,19 +297,20 @@
 	}
 }
 
-// Done ends an exchange that Pick began.
-func (t *Table) Done(instance string, o Outcome, now time.Time) {
+// Done ends an exchange that Pick began. It returns a change of belief worth telling, or false.
+func (t *Table) Done(instance string, o Outcome, now time.Time) (c Change, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.m[instance]
 	if !ok {
-		return
+		return Change{}, false
 	}
 	s.own = max(0, s.own-1)
-	s.answers = o == Answered || o == Broken || (o == Abandoned && s.answers)
+	s.answers = o == Answered || o == Failed || o == Broken || (o == Abandoned && s.answers)
 	switch o {
-	case Answered:
+	case Answered, Failed:
 		s.failures = 0
+		c, changed = s.answered(o == Failed, now)
 	case Abandoned:
 	case Unreachable:
 		s.failures++
@@ -314,9 +320,11 @@
 	case Broken:
 		s.failures++
 		s.avoid = now.Add(min(maxPause, brokenPause<<min(s.failures-1, 5)))
+		c, changed = s.answered(true, now)
 	case Misdirected:
 		delete(t.m, instance)
 	}
+	return c, changed
 }
 
 // Census returns the slots of the upstreams of a service that take work, and the requests that they hold.
--- a/internal/sched/roster/slow.go
+++ b/internal/sched/roster/slow.go
@@ -1,9 +1,6 @@
 package roster
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// slowWeight is the weight of the newest time in an upstream's slowness.
@@ -24,24 +21,16 @@
 
 // slowness says how many times longer than expected an upstream takes. The zero value is the usual.
 type slowness struct {
-	// above is how much more than once the expected time it takes, as of at.
-	above float64
-	at    time.Time
+	// above is how much more than once the expected time it takes.
+	above fading
 }
 
 // withTime returns the slowness after one more time, as a multiple of the expected one.
 func (s slowness) withTime(ratio float64, now time.Time) slowness {
-	above := s.decayed(now)
-	above += slowWeight * (min(ratio, mostSlow) - 1 - above)
-	return slowness{above: above, at: now}
+	return slowness{s.above.with(min(ratio, mostSlow)-1, slowWeight, slowHalfLife, now)}
 }
 
-func (s slowness) decayed(now time.Time) float64 {
-	if s.at.IsZero() {
-		return 0
-	}
-	return s.above * math.Exp2(-now.Sub(s.at).Seconds()/slowHalfLife.Seconds())
-}
+func (s slowness) decayed(now time.Time) float64 { return s.above.value(slowHalfLife, now) }
 
 // factor returns the multiple of the expected time to reckon with; at least 1.
 func (s slowness) factor(now time.Time) float64 { return 1 + max(0, s.decayed(now)-slowBand) }
@@ -65,11 +54,11 @@
 	return float64(took) / float64(p.usual)
 }
 
-// Change is a change of what is believed of an upstream's speed.
+// Change is a change of what is believed of an upstream's speed or of its failures.
 type Change struct {
-	// Slow says that the upstream counts as slow now; otherwise it did and does no longer.
-	Slow bool
-	// Factor is the multiple of the expected time that is reckoned with.
+	// Slow and Failing say that the upstream counts as such now; otherwise it did and does no longer.
+	Slow, Failing bool
+	// Factor is the multiple of the expected time that is reckoned with, or the share of answers that are failures.
 	Factor float64
 }
 
