Let lookups leave a slow upstream in time

Change: a call that may be repeated waits four times the usual time of its route (120 ms at least, twice as long at the next), then goes to another upstream, if it has a try and half of its time left; one call in ten at most, so that a service that is slow as a whole gets no more load. TestLookupLeavesASlowWorker fails before.

--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -62,6 +62,7 @@
 	crashes *crashes
 	absent  absences
 	paces   paces
+	mover   mover
 	policy  admit.Policy
 	ready   serve.Ready
 	stop    stopping
--- a/internal/role/gate/paces.go
+++ b/internal/role/gate/paces.go
@@ -27,6 +27,13 @@
 	return known.Ratio(d)
 }
 
+// usual returns what is usual for the kind, zero while nothing is known.
+func (p *paces) usual(kind string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.m[kind].Usual()
+}
+
 // ratio returns a time that is not over yet as a multiple of the usual one.
 func (p *paces) ratio(kind string, d time.Duration) float64 {
 	p.mu.Lock()
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -51,6 +51,7 @@
 	if j.route.Resumable {
 		a.resumeAfter = j.call.Turn.ResumeAfter
 	}
+	g.mover.budget.Request()
 	for a.more() && ctx.Err() == nil {
 		u, ok := g.pick(a, "", 0)
 		if !ok {
@@ -101,7 +102,10 @@
 // tryPlain sends the call to one upstream. Done means that the caller has its answer, or part of it.
 func (g *Gate) tryPlain(ctx context.Context, a *attempts, u roster.Upstream, w Reply) (done bool, f *fault.Fault) {
 	began := time.Now()
+	ctx, cancel, arrived := g.waiting(ctx, a)
+	defer cancel()
 	ans, ok := g.exchange(ctx, a, u, a.call.Body, -1)
+	arrived()
 	if !ok {
 		if a.ran {
 			g.timed(u, a.route.Name, time.Since(began), false)
--- a/internal/sched/roster/slow.go
+++ b/internal/sched/roster/slow.go
@@ -46,6 +46,9 @@
 	return Pace{p.usual + time.Duration(paceWeight*float64(took-p.usual))}
 }
 
+// Usual returns the usual time, zero while nothing is known.
+func (p Pace) Usual() time.Duration { return p.usual }
+
 // Ratio returns the time as a multiple of the usual one, 1 while nothing is known.
 func (p Pace) Ratio(took time.Duration) float64 {
 	if p.usual <= 0 {
