Count as cut off only who fails after peers reached the store

Ruled out: waiting longer before any withdrawal, which keeps partitions at gateways that are cut off. Change: two direct calls must fail after a peer first reached the store. TestReturnOfTheStore fails before.

--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -19,9 +19,9 @@
 	directEvery = 700 * time.Millisecond
 	// maxDetours bounds the peers that are asked for one call.
 	maxDetours = 2
-	// cutAfter is how many direct calls in a row must fail, while peers reach the store, before this process counts as
-	// cut off from it. Lost answers of a store that is in reach come alone, or two in a row.
-	cutAfter = 4
+	// cutAfter is how many direct calls in a row must fail after a peer reached the store before this process counts as
+	// cut off from it. Peers may reach a store that comes back a moment earlier.
+	cutAfter = 2
 	// failingWait bounds how long a reading of a feed waits for records while the direct way fails, since its answer
 	// shows that the way is good again.
 	failingWait = 100 * time.Millisecond
@@ -40,7 +40,7 @@
 	mu       sync.Mutex
 	failures int
 	tried    time.Time
-	// good is the peer that reached the store last, goodAt the number of failures then.
+	// good is the peer that reached the store last, goodAt the number of failures when the first one of this series did.
 	good   string
 	goodAt int
 }
@@ -181,14 +181,17 @@
 func (d *detour) reached(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.good, d.goodAt = address, d.failures
+	d.good = address
+	if d.goodAt == 0 {
+		d.goodAt = d.failures
+	}
 }
 
 // Cut reports whether peers reach the store and this process does not.
 func (d *detour) Cut() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.failures >= cutAfter && d.goodAt >= detourAfter
+	return d.goodAt >= detourAfter && d.failures >= d.goodAt+cutAfter
 }
 
 // direct reports whether the call should be tried without peers.
--- a/internal/role/gate/detour_test.go
+++ b/internal/role/gate/detour_test.go
@@ -83,3 +83,32 @@
 		})
 	}
 }
+
+// TestReturnOfTheStore is the pattern of an outage for all that ends: peers reach the store a moment before this process
+// does, which is no cut.
+func TestReturnOfTheStore(t *testing.T) {
+	is := is.New(t)
+	var asked int
+	dark, light := peerWith(t, &reach{down: true}, &asked), peerWith(t, &reach{}, &asked)
+	peers := []string{dark}
+	direct := &reach{down: true}
+	d := newDetour(direct, newPeerClient("self"), func() []string { return peers }, func(string, ...any) {})
+	d.every = 0
+	call := func() { _, _ = d.Owners(t.Context()) }
+	for range 20 {
+		call()
+	}
+	is.True(!d.Cut())
+	peers = []string{light}
+	call()
+	is.True(!d.Cut())
+	direct.down = false
+	call()
+	is.True(!d.Cut())
+
+	direct.down = true // A cut that follows is one.
+	for range detourAfter + cutAfter {
+		call()
+	}
+	is.True(d.Cut())
+}
