Log what is believed about requests that crash upstreams

The logs could not tell its hypotheses apart (docs/incidents/crashing-request.md). No decision changes.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -42,10 +42,12 @@
 	Event       string `json:"event"`
 }
 
-func (c *crashes) take(n crashNotice, now time.Time) {
+// take notes a crash and returns how many are known of the request.
+func (c *crashes) take(n crashNotice, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table = c.table.WithCrash([]uint64{n.Fingerprint}, n.Event, now)
+	return c.table.Crashes(n.Fingerprint, now)
 }
 
 func (c *crashes) verdict(fingerprint uint64, now time.Time) poison.Verdict {
@@ -54,11 +56,13 @@
 	return c.table.Verdict(fingerprint, now)
 }
 
-// served clears a request that ran to its end.
-func (c *crashes) served(fingerprint uint64) {
+// served clears a request that ran to its end, and returns how many crashes were known of it.
+func (c *crashes) served(fingerprint uint64, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	known := c.table.Crashes(fingerprint, now)
 	c.table = c.table.WithSuccess(fingerprint)
+	return known
 }
 
 // fingerprint identifies a request over its attempts, which have ids of their own.
@@ -85,7 +89,8 @@
 		return nil
 	}
 	g.metrics.Add("quarantined", 1)
-	return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q", crashLimit, j.route.Name)
+	return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q, fingerprint %d", crashLimit,
+		j.route.Name, j.fingerprint())
 }
 
 // suspect looks whether the upstream that broke an answer off is dead, and tells the peers if so.
@@ -99,14 +104,20 @@
 		}
 		d := net.Dialer{Timeout: crashProbeTimeout}
 		c, err := d.DialContext(ctx, "tcp", u.Address)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			// An upstream that connects may be back already, one that does not answer may be cut off.
+			g.note("crash_doubtful", "upstream", u.Instance, "address", u.Address, "request", j.call.ID,
+				"fingerprint", n.Fingerprint, "connects", err == nil)
+		}
 		if err == nil {
 			return c.Close()
 		}
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return nil
 		}
-		g.crashes.take(n, time.Now())
-		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", j.call.ID, "fingerprint", n.Fingerprint)
+		known := g.crashes.take(n, time.Now())
+		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", j.call.ID,
+			"fingerprint", n.Fingerprint, "crashes", known, "told", len(g.owner.Peers()))
 		// The request must not try its luck through peers.
 		if err := tell(ctx, g, crashPath, n); err != nil {
 			g.note("crash_not_told", "fingerprint", n.Fingerprint, "cause", err)
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -182,7 +182,8 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+crashPath, answer(g, func(_ context.Context, n crashNotice) (struct{}, error) {
-		g.crashes.take(n, time.Now())
+		known := g.crashes.take(n, time.Now())
+		g.note("crash_heard", "fingerprint", n.Fingerprint, "event_id", n.Event, "crashes", known)
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+failPath, answer(g, func(_ context.Context, n failNotice) (struct{}, error) {
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -60,6 +60,15 @@
 	return Suspect
 }
 
+// Crashes returns how many upstreams died while the request ran, zero if it is forgotten.
+func (t Table) Crashes(fingerprint uint64, now time.Time) int {
+	r, ok := t.records[fingerprint]
+	if !ok || now.Sub(r.last) > t.life {
+		return 0
+	}
+	return len(r.events)
+}
+
 // WithCrash returns a table after the requests ran during the death of an upstream. Equal events count once.
 func (t Table) WithCrash(running []uint64, event string, now time.Time) Table {
 	n := t.fresh(now)
