Remember requests that crash upstreams for as long as they may come again

Cause: a record lived 30 s from the last crash, and a refused request adds none, so every half minute the request ran three more times. Change: suspects are remembered for an hour, convicted requests for a week; those may run once more after an hour, and after four times longer with each further crash. A trial that ends well clears the request. The refusal says when the next trial is.

--- a/internal/role/exec/runner.go
+++ b/internal/role/exec/runner.go
@@ -228,7 +228,7 @@
 	r.queue.Settle(j.item, res.cost)
 	r.endSpace(j, res)
 	if res.fault == nil && j.suspect {
-		r.table = r.table.WithSuccess(j.fingerprint)
+		r.table = r.table.WithSuccess(j.fingerprint, time.Now())
 	}
 	r.finish(j, res.fault)
 }
--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -21,8 +21,12 @@
 	// crashLimit is the number of upstreams that a request may crash before it is not run again. It is above the one of
 	// sidecars, which run a suspect apart from others and so are sure after two.
 	crashLimit = 3
-	// crashLife is how long a request that crashes upstreams is remembered.
-	crashLife = 30 * time.Second
+	// suspicionLife is how long a request that crashed fewer upstreams is remembered.
+	suspicionLife = time.Hour
+	// trialAfter is when a request that crashed so many may run once more, in case it was not to blame; with each further
+	// crash the time grows, so that it runs three more times within some days. convictionLife is how long it is remembered.
+	trialAfter     = time.Hour
+	convictionLife = 7 * 24 * time.Hour
 	// crashProbeAfter is how long after a broken answer the upstream is looked at, crashProbeTimeout how long that takes.
 	crashProbeAfter   = 50 * time.Millisecond
 	crashProbeTimeout = 300 * time.Millisecond
@@ -34,7 +38,9 @@
 	table poison.Table
 }
 
-func newCrashes() *crashes { return &crashes{table: poison.NewTable(crashLife).WithLimit(crashLimit)} }
+func newCrashes() *crashes {
+	return &crashes{table: poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife)}
+}
 
 // crashNotice tells a peer of an upstream that died while it ran a request.
 type crashNotice struct {
@@ -50,10 +56,11 @@
 	return c.table.Crashes(n.Fingerprint, now)
 }
 
-func (c *crashes) verdict(fingerprint uint64, now time.Time) poison.Verdict {
+// verdict returns how the request may run, and when it may run once more if it must not now.
+func (c *crashes) verdict(fingerprint uint64, now time.Time) (v poison.Verdict, trialIn time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Verdict(fingerprint, now)
+	return c.table.Verdict(fingerprint, now), c.table.TrialIn(fingerprint, now)
 }
 
 // served clears a request that ran to its end, and returns how many crashes were known of it.
@@ -61,7 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.table.Crashes(fingerprint, now)
-	c.table = c.table.WithSuccess(fingerprint)
+	c.table = c.table.WithSuccess(fingerprint, now)
 	return known
 }
 
@@ -85,12 +92,13 @@
 
 // quarantine refuses a request that has crashed too many upstreams.
 func (g *Gate) quarantine(j *job) *fault.Fault {
-	if g.crashes.verdict(j.fingerprint(), time.Now()) != poison.Quarantined {
+	v, trialIn := g.crashes.verdict(j.fingerprint(), time.Now())
+	if v != poison.Quarantined {
 		return nil
 	}
 	g.metrics.Add("quarantined", 1)
 	return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q, fingerprint %d", crashLimit,
-		j.route.Name, j.fingerprint())
+		j.route.Name, j.fingerprint()).WithRetryAfter(trialIn)
 }
 
 // suspect looks whether the upstream that broke an answer off is dead, and tells the peers if so.
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -12,6 +12,9 @@
 // CrashLimit is the number of crashes after which a request is not run again.
 const CrashLimit = 2
 
+// trialGrowth is how many times longer each further crash keeps a request from its next trial.
+const trialGrowth = 4
+
 // Verdict says how a request may run.
 type Verdict int
 
@@ -34,13 +37,19 @@
 // Table maps fingerprints of requests to their records. It is immutable; With methods return changed copies.
 type Table struct {
 	records map[uint64]record
-	life    time.Duration
+	// life is how long after its last crash a request below the limit is remembered.
+	life time.Duration
 	// limit is the number of crashes after which a request is not run again; at least 1.
 	limit int
+	// trial is how long after its last crash a quarantined request may run once more, which grows with each further
+	// crash; keep is how long it is remembered. Neither is below zero.
+	trial, keep time.Duration
 }
 
 // NewTable returns a table that forgets a request after the life time.
-func NewTable(life time.Duration) Table { return Table{life: life, limit: CrashLimit} }
+func NewTable(life time.Duration) Table {
+	return Table{life: life, limit: CrashLimit, trial: life, keep: life}
+}
 
 // WithLimit returns a table with another number of crashes after which a request is not run again.
 func (t Table) WithLimit(crashes int) Table {
@@ -48,24 +57,62 @@
 	return t
 }
 
+// WithTrials returns a table that lets a quarantined request run once more after the trial time, and after longer times
+// for each further crash. It is forgotten after the keep time.
+func (t Table) WithTrials(trial, keep time.Duration) Table {
+	t.trial, t.keep = trial, keep
+	return t
+}
+
+// known returns the record of a request that is not forgotten.
+func (t Table) known(fingerprint uint64, now time.Time) (record, bool) {
+	r, ok := t.records[fingerprint]
+	if !ok || t.forgotten(r, now) {
+		return record{}, false
+	}
+	return r, true
+}
+
+func (t Table) forgotten(r record, now time.Time) bool {
+	if len(r.events) >= t.limit {
+		return now.Sub(r.last) > t.keep
+	}
+	return now.Sub(r.last) > t.life
+}
+
 // Verdict returns how the request may run.
 func (t Table) Verdict(fingerprint uint64, now time.Time) Verdict {
-	r, ok := t.records[fingerprint]
+	r, ok := t.known(fingerprint, now)
 	switch {
-	case !ok || now.Sub(r.last) > t.life:
+	case !ok:
 		return Clear
-	case len(r.events) >= t.limit:
+	case len(r.events) >= t.limit && now.Sub(r.last) <= t.pause(len(r.events)):
 		return Quarantined
 	}
 	return Suspect
 }
 
-// Crashes returns how many upstreams died while the request ran, zero if it is forgotten.
-func (t Table) Crashes(fingerprint uint64, now time.Time) int {
-	r, ok := t.records[fingerprint]
-	if !ok || now.Sub(r.last) > t.life {
+// TrialIn returns when a quarantined request may run once more; zero for others.
+func (t Table) TrialIn(fingerprint uint64, now time.Time) time.Duration {
+	r, ok := t.known(fingerprint, now)
+	if !ok || len(r.events) < t.limit {
 		return 0
 	}
+	return max(0, t.pause(len(r.events))-now.Sub(r.last))
+}
+
+// pause is how long a request does not run after so many crashes.
+func (t Table) pause(crashes int) time.Duration {
+	p := t.trial
+	for n := t.limit; n < crashes && p < t.keep; n++ {
+		p *= trialGrowth
+	}
+	return p
+}
+
+// Crashes returns how many upstreams died while the request ran, zero if it is forgotten.
+func (t Table) Crashes(fingerprint uint64, now time.Time) int {
+	r, _ := t.known(fingerprint, now)
 	return len(r.events)
 }
 
@@ -83,21 +130,20 @@
 	return n
 }
 
-// WithSuccess returns a table after a suspect ran to its end.
-func (t Table) WithSuccess(fingerprint uint64) Table {
-	r, ok := t.records[fingerprint]
-	if !ok || len(r.events) >= t.limit {
+// WithSuccess returns a table after a request ran to its end. That of a quarantined one counts only as a trial.
+func (t Table) WithSuccess(fingerprint uint64, now time.Time) Table {
+	if t.Verdict(fingerprint, now) != Suspect {
 		return t
 	}
-	n := Table{records: maps.Clone(t.records), life: t.life, limit: t.limit}
-	delete(n.records, fingerprint)
-	return n
+	t.records = maps.Clone(t.records)
+	delete(t.records, fingerprint)
+	return t
 }
 
 // Each calls f for each request that is not forgotten.
 func (t Table) Each(now time.Time, f func(fingerprint uint64, events []string)) {
 	for k, r := range t.records {
-		if now.Sub(r.last) <= t.life {
+		if !t.forgotten(r, now) {
 			f(k, r.events)
 		}
 	}
@@ -116,12 +162,14 @@
 // Len returns the number of records, forgotten ones included.
 func (t Table) Len() int { return len(t.records) }
 
+// fresh returns a copy without forgotten records.
 func (t Table) fresh(now time.Time) Table {
-	n := Table{records: make(map[uint64]record, len(t.records)+1), life: t.life, limit: t.limit}
+	records := make(map[uint64]record, len(t.records)+1)
 	for k, r := range t.records {
-		if now.Sub(r.last) <= t.life {
-			n.records[k] = r
+		if !t.forgotten(r, now) {
+			records[k] = r
 		}
 	}
-	return n
+	t.records = records
+	return t
 }
--- a/internal/sched/poison/table_test.go
+++ b/internal/sched/poison/table_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 // comes again and again: it was forgotten half a minute after its last crash.
 func TestCrashingRequestIsNotForgottenWhileItComes(t *testing.T) {
 	is := is.New(t)
-	tab := NewTable(30 * time.Second).WithLimit(3)
+	tab := NewTable(time.Hour).WithLimit(3).WithTrials(time.Hour, 7*24*time.Hour)
 	now := time.Unix(1000, 0)
 	ends := 0
 	for range 24 * 60 * 12 { // Every five seconds for a day.
@@ -24,3 +25,44 @@
 	is.True(ends >= 3)
 	is.True(ends <= 3+3)
 }
+
+func TestVerdict(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes int
+		// success says that the request ran to its end so long after its last crash.
+		success time.Duration
+		after   time.Duration
+		want    Verdict
+		trial   time.Duration
+	}{
+		{"never crashed", 0, 0, 0, Clear, 0},
+		{"below the limit", 2, 0, 9 * time.Minute, Suspect, 0},
+		{"below the limit, forgotten", 2, 0, 11 * time.Minute, Clear, 0},
+		{"below the limit, ran well", 2, time.Second, time.Minute, Clear, 0},
+		{"at the limit", 3, 0, 59 * time.Minute, Quarantined, time.Minute},
+		{"at the limit, one that was under way ran well", 3, time.Second, time.Minute, Quarantined, 59 * time.Minute},
+		{"trial", 3, 0, 61 * time.Minute, Suspect, 0},
+		{"trial that ran well", 3, 61 * time.Minute, 62 * time.Minute, Clear, 0},
+		{"trial that crashed", 4, 0, 3 * time.Hour, Quarantined, time.Hour},
+		{"second trial", 4, 0, 5 * time.Hour, Suspect, 0},
+		{"forgotten", 4, 0, 49 * time.Hour, Clear, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tab := NewTable(10*time.Minute).WithLimit(3).WithTrials(time.Hour, 48*time.Hour)
+			now := time.Unix(1000, 0)
+			for i := range tt.crashes {
+				tab = tab.WithCrash([]uint64{1, 2}, strconv.Itoa(i), now)
+				tab = tab.WithCrash([]uint64{1}, strconv.Itoa(i), now) // Equal events count once.
+			}
+			if tt.success > 0 {
+				tab = tab.WithSuccess(1, now.Add(tt.success))
+			}
+			is.Equal(tab.Verdict(1, now.Add(tt.after)), tt.want)
+			is.Equal(tab.TrialIn(1, now.Add(tt.after)), tt.trial)
+			is.Equal(tab.Crashes(2, now), tt.crashes) // Its success cleared no other request.
+		})
+	}
+}
