Tell all gateways through the store of requests that crash upstreams

Cause: a crash was told once, to the gateways that hold a partition at that moment. Class: what all must know was told once to whom one happened to know, and ended with the processes. Change: a record for each crash in a feed of the store that every gateway follows, reads whole at its start, also from peers during an outage, and publishes to until the store has taken it. Peers are still told, since the store may be away. Ruled out: telling all members by peers alone: nothing lists those that hold no partition, and a kill of all ends it.

--- a/internal/role/gate/detour.go
+++ b/internal/role/gate/detour.go
@@ -28,7 +28,7 @@
 )
 
 // detour is a store that a part of the fleet may fail to reach: calls that the store turns away from here are made
-// by a peer. Repeated appends are safe, since the store does each once.
+// by a peer. Repeated appends are safe, since the store does each once; what is published may be repeated.
 type detour struct {
 	store.Store
 	peers     *peerClient
@@ -108,6 +108,8 @@
 		a.Batch, err = s.Snapshot(ctx, q.Feed)
 	case "follow":
 		a.Batch, err = s.Follow(ctx, q.Feed, q.From, time.Duration(q.WaitMS)*time.Millisecond)
+	case "publish":
+		err = s.Publish(ctx, q.Feed, q.Records)
 	case "join":
 		a.Assignment, err = s.Join(ctx, q.Member, q.Generation, time.Duration(q.TTLMS)*time.Millisecond)
 	case "leave":
@@ -267,6 +269,12 @@
 	return a.Batch, err
 }
 
+// Publish implements store.Feeds.
+func (d *detour) Publish(ctx context.Context, f store.Feed, records []store.Record) error {
+	_, err := d.try(ctx, storeRequest{Call: "publish", Feed: f, Records: records})
+	return err
+}
+
 // Join implements store.Group.
 func (d *detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (store.Assignment, error) {
 	a, err := d.try(ctx, storeRequest{Call: "join", Member: member, Generation: generation, TTLMS: ttl.Milliseconds()})
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -56,16 +56,16 @@
 	recall  *recall
 	// warm is the engine that holds the cache of each turn, asked the time that programs had when they first wanted to
 	// begin.
-	warm    memo[string]
-	asked   memo[time.Duration]
-	sampled sampler
-	crashes *crashes
-	absent  absences
-	paces   paces
-	mover   mover
-	policy  admit.Policy
-	ready   serve.Ready
-	stop    stopping
+	warm     memo[string]
+	asked    memo[time.Duration]
+	sampled  sampler
+	suspects *suspects
+	absent   absences
+	paces    paces
+	mover    mover
+	policy   admit.Policy
+	ready    serve.Ready
+	stop     stopping
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
@@ -92,7 +92,7 @@
 	gt := &Gate{
 		settings: s, codec: d.Codec, read: d.Announcements, lg: d.Log, metrics: d.Metrics, group: g,
 		roster: roster.New(), recall: newRecall(), streams: frame.NewSet(), warm: newMemo[string](warmTurns),
-		asked: newMemo[time.Duration](askedPrograms), crashes: newCrashes(), policy: admit.DefaultPolicy(),
+		asked: newMemo[time.Duration](askedPrograms), suspects: newSuspects(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOpened(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
@@ -108,6 +108,8 @@
 	g.Go(gt.followSettings)
 	g.Go(gt.followUpstreams)
 	g.Go(gt.owner.Run)
+	g.Go(gt.followCrashes)
+	g.Go(gt.publishCrashes)
 	g.Go(gt.housekeeping)
 	return gt, nil
 }
@@ -139,6 +141,7 @@
 		case now := <-sweep.C:
 			g.pool.Sweep(now)
 			g.roster.Settle(now)
+			g.sweepCrashes(now)
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.Located() && !g.stop.begun() && !g.ready.On() {
 				g.ready.Set(true)
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/sched/poison"
 	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/store"
 	"galenaward.example/galenaward/internal/state/turns"
@@ -182,8 +183,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+crashPath, answer(g, func(_ context.Context, n crashNotice) (struct{}, error) {
-		known := g.crashes.take(n, time.Now())
-		g.note("crash_heard", "fingerprint", n.Fingerprint, "event_id", n.Event, "crashes", known)
+		g.heardOfCrashes([]poison.Crash{n.crash()}, "peer")
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+failPath, answer(g, func(_ context.Context, n failNotice) (struct{}, error) {
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -223,14 +223,12 @@
 	}
 	g.done(u, o)
 	g.note("try_failed", "request", a.call.ID, "upstream", u.Instance, "address", u.Address, "sent", a.sent,
-		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "fingerprint", a.fingerprint(), "cause", err)
+		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "fingerprint", hex(a.fingerprint()), "cause", err)
 }
 
 // ended notes that the upstream's whole answer arrived.
 func (g *Gate) ended(j *job, u roster.Upstream, status int) {
-	if n := g.crashes.served(j.fingerprint(), time.Now()); n > 0 {
-		g.note("suspect_answered", "request", j.call.ID, "fingerprint", j.hash, "status", status, "crashes", n, "upstream", u.Instance)
-	}
+	g.cleared(j, u, status)
 	o := roster.Answered
 	if status >= http.StatusInternalServerError {
 		o = roster.Failed
--- /dev/null
+++ b/internal/role/gate/suspects.go
@@ -0,0 +1,339 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/sched/poison"
+	"galenaward.example/galenaward/internal/sched/roster"
+	"galenaward.example/galenaward/internal/state/store"
+)
+
+const (
+	// suspicionLife is how long a request that crashed fewer upstreams than the limit is remembered.
+	suspicionLife = time.Hour
+	// trialAfter is when a request that crashed so many may run once more, in case it was not to blame; with each further
+	// crash the time grows, so that it runs three more times within some days. convictionLife is how long it is remembered.
+	trialAfter     = time.Hour
+	convictionLife = 7 * 24 * time.Hour
+	// crashesWait is how long one reading of the crashes waits for the first. A connection that has gone silent is noticed
+	// only after it.
+	crashesWait = 2 * time.Second
+	// crashesPause is the time between two readings. An upstream that dies makes several records.
+	crashesPause = 50 * time.Millisecond
+	// publishTimeout bounds one try to publish crashes, publishPause is the time between two.
+	publishTimeout = 600 * time.Millisecond
+	publishPause   = 300 * time.Millisecond
+	// maxUnpublished bounds the records that wait for the store.
+	maxUnpublished = 4096
+	// sweepCrashesEvery is the time between two searches for records to remove, sweepPartition the one whose holder searches.
+	sweepCrashesEvery = 30 * time.Second
+	sweepPartition    = 0
+)
+
+var errCrashRecord = errors.New("not a record of a crash")
+
+// suspects remembers the requests that ran while their upstreams died, at any gateway. What stands in the store outlasts
+// the processes.
+type suspects struct {
+	mu    sync.Mutex
+	table poison.Table
+	// unpublished holds the records that the store has not confirmed.
+	unpublished map[string]store.Record
+	// dropped counts records that found no room there since it was last logged.
+	dropped int
+	// wake has an element when there may be records to publish.
+	wake chan struct{}
+	// swept is when forgotten records were last searched for.
+	swept time.Time
+}
+
+func newSuspects() *suspects {
+	return &suspects{
+		table:       poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife),
+		unpublished: make(map[string]store.Record), wake: make(chan struct{}, 1),
+	}
+}
+
+// deathOf returns the id of the end of an upstream's start.
+func deathOf(u roster.Upstream) string {
+	return hex(xxhash.Sum64String(u.Instance + "/" + strconv.FormatInt(u.Born, 10)))
+}
+
+func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
+
+// crashValue is the form of a crash in the store, under the fingerprint and the id of the death.
+type crashValue struct {
+	// AtMS is the Unix millisecond of the crash.
+	AtMS int64 `json:"at_ms"`
+}
+
+func crashKey(c poison.Crash) string { return hex(c.Fingerprint) + "/" + c.Event }
+
+func crashRecord(c poison.Crash) store.Record {
+	v, err := json.Marshal(crashValue{c.At.UnixMilli()})
+	if err != nil {
+		panic(err) // A struct of an integer.
+	}
+	return store.Record{Key: crashKey(c), Value: v}
+}
+
+// parseCrash reads a record. Gone means that the crash counts no more.
+func parseCrash(r store.Record) (c poison.Crash, gone bool, err error) {
+	fingerprint, event, _ := strings.Cut(r.Key, "/")
+	if c.Fingerprint, err = strconv.ParseUint(fingerprint, 16, 64); err != nil || event == "" {
+		return c, false, errors.Wrapf(errCrashRecord, "key %q", r.Key)
+	}
+	c.Event = event
+	if len(r.Value) == 0 {
+		return c, true, nil
+	}
+	var v crashValue
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return c, false, errors.Wrapf(err, "key %q", r.Key)
+	}
+	c.At = time.UnixMilli(v.AtMS)
+	return c, false, nil
+}
+
+// crashNotice tells a peer of an upstream that died while it ran a request.
+type crashNotice struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	Event       string `json:"event"`
+	AtMS        int64  `json:"at_ms"`
+}
+
+func noticeOf(c poison.Crash) crashNotice {
+	return crashNotice{c.Fingerprint, c.Event, c.At.UnixMilli()}
+}
+
+func (n crashNotice) crash() poison.Crash {
+	return poison.Crash{Fingerprint: n.Fingerprint, Event: n.Event, At: time.UnixMilli(n.AtMS)}
+}
+
+// seen takes a crash that this process noticed, to be published. It returns how many are known of the request, and whether
+// this one was not.
+func (s *suspects) seen(c poison.Crash) (known int, fresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.table.Events(c.Fingerprint, c.At), c.Event) {
+		return 0, false
+	}
+	s.table = s.table.With([]poison.Crash{c}, c.At)
+	s.publish(crashRecord(c))
+	return len(s.table.Events(c.Fingerprint, c.At)), true
+}
+
+// publish queues records for the store. The caller holds the lock.
+func (s *suspects) publish(records ...store.Record) {
+	for _, r := range records {
+		if _, queued := s.unpublished[r.Key]; queued || len(s.unpublished) < maxUnpublished {
+			s.unpublished[r.Key] = r
+		} else {
+			s.dropped++
+		}
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// heard takes crashes that others noticed and returns those that were not known.
+func (s *suspects) heard(crashes []poison.Crash, now time.Time) []poison.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := slices.DeleteFunc(slices.Clone(crashes), func(c poison.Crash) bool {
+		return slices.Contains(s.table.Events(c.Fingerprint, now), c.Event)
+	})
+	if len(fresh) > 0 {
+		s.table = s.table.With(fresh, now)
+	}
+	return fresh
+}
+
+// withdrawn takes crashes that count no more.
+func (s *suspects) withdrawn(crashes []poison.Crash, now time.Time) {
+	if len(crashes) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = s.table.Without(crashes, now)
+}
+
+// listed takes all crashes that the store holds.
+func (s *suspects) listed(crashes []poison.Crash, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.unpublished {
+		if c, gone, err := parseCrash(r); err == nil && !gone {
+			crashes = append(crashes, c)
+		}
+	}
+	s.table = s.table.Empty().With(crashes, now)
+}
+
+// verdict returns how the request may run, and when it may run once more if it must not now.
+func (s *suspects) verdict(fingerprint uint64, now time.Time) (v poison.Verdict, trialIn time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Verdict(fingerprint, now), s.table.TrialIn(fingerprint, now)
+}
+
+// served clears a request that ran to its end, and returns how many crashes were known of it.
+func (s *suspects) served(fingerprint uint64, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := s.table.Events(fingerprint, now)
+	if s.table.Verdict(fingerprint, now) != poison.Suspect {
+		return len(events)
+	}
+	s.table = s.table.WithSuccess(fingerprint, now)
+	for _, e := range events {
+		s.publish(store.Record{Key: crashKey(poison.Crash{Fingerprint: fingerprint, Event: e})})
+	}
+	return len(events)
+}
+
+// unsent returns the records to publish, and how many were dropped since it was last asked.
+func (s *suspects) unsent() (records []store.Record, dropped int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped, s.dropped = s.dropped, 0
+	return slices.Collect(maps.Values(s.unpublished)), dropped
+}
+
+// published notes that the store has the records.
+func (s *suspects) published(records []store.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		if string(s.unpublished[r.Key].Value) == string(r.Value) {
+			delete(s.unpublished, r.Key)
+		}
+	}
+}
+
+// sweep removes records of requests that are forgotten.
+func (s *suspects) sweep(records []store.Record, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		c, gone, err := parseCrash(r)
+		if err == nil && !gone && now.Sub(c.At) > suspicionLife && s.table.Verdict(c.Fingerprint, now) == poison.Clear {
+			s.publish(store.Record{Key: r.Key})
+		}
+	}
+}
+
+// due reports whether records should be searched for those to remove.
+func (s *suspects) due(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.swept) < sweepCrashesEvery {
+		return false
+	}
+	s.swept = now
+	return true
+}
+
+// heardOfCrashes takes crashes that others noticed.
+func (g *Gate) heardOfCrashes(crashes []poison.Crash, source string) {
+	now := time.Now()
+	for _, c := range g.suspects.heard(crashes, now) {
+		g.note("crash_heard", "fingerprint", hex(c.Fingerprint), "death", c.Event, "source", source,
+			"age_ms", now.Sub(c.At).Milliseconds())
+	}
+}
+
+// followCrashes keeps what all gateways know of requests that crash upstreams.
+func (g *Gate) followCrashes(ctx context.Context) error {
+	f := follower{
+		gate: g, feed: store.Crashes, wait: crashesWait, pause: crashesPause, whole: g.replaceCrashes, part: g.takeCrashes,
+	}
+	return f.run(ctx)
+}
+
+func (g *Gate) replaceCrashes(b store.Batch) {
+	crashes, _ := g.parseCrashes(b)
+	g.suspects.listed(crashes, time.Now())
+	g.note("crashes_listed", "count", len(crashes))
+}
+
+func (g *Gate) takeCrashes(b store.Batch) {
+	crashes, gone := g.parseCrashes(b)
+	g.heardOfCrashes(crashes, "store")
+	g.suspects.withdrawn(gone, time.Now())
+}
+
+func (g *Gate) parseCrashes(b store.Batch) (crashes, gone []poison.Crash) {
+	for _, r := range b.Records {
+		c, ended, err := parseCrash(r)
+		switch {
+		case err != nil:
+			g.note("crash_record_skipped", "key", r.Key, "cause", err)
+		case ended:
+			gone = append(gone, c)
+		default:
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes, gone
+}
+
+// publishCrashes puts into the store what this process noticed, until the store has it.
+func (g *Gate) publishCrashes(ctx context.Context) error {
+	failed := false
+	for {
+		records, dropped := g.suspects.unsent()
+		if dropped > 0 {
+			g.note("crashes_dropped", "records", dropped)
+		}
+		if len(records) == 0 {
+			select {
+			case <-g.suspects.wake:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		pctx, cancel := context.WithTimeout(ctx, publishTimeout)
+		err := g.store.Publish(pctx, store.Crashes, records)
+		cancel()
+		if err == nil {
+			g.suspects.published(records)
+			failed = false
+			continue
+		}
+		if !failed && ctx.Err() == nil {
+			failed = true
+			g.note("crashes_unpublished", "records", len(records), "cause", err)
+		}
+		select {
+		case <-time.After(publishPause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// sweepCrashes removes forgotten records from the store, at one gateway.
+func (g *Gate) sweepCrashes(now time.Time) {
+	if _, ok := g.owner.Held(sweepPartition); !ok || !g.suspects.due(now) {
+		return
+	}
+	if b, ok := g.recall.snapshot(store.Crashes); ok {
+		g.suspects.sweep(b.Records, now)
+	}
+}
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -110,26 +110,70 @@
 	return p
 }
 
-// Crashes returns how many upstreams died while the request ran, zero if it is forgotten.
-func (t Table) Crashes(fingerprint uint64, now time.Time) int {
+// Events returns the ids of the deaths during which the request ran, none if it is forgotten.
+func (t Table) Events(fingerprint uint64, now time.Time) []string {
 	r, _ := t.known(fingerprint, now)
-	return len(r.events)
+	return r.events
 }
 
-// WithCrash returns a table after the requests ran during the death of an upstream. Equal events count once.
-func (t Table) WithCrash(running []uint64, event string, now time.Time) Table {
+// Crash is the death of an upstream while it ran a request.
+type Crash struct {
+	Fingerprint uint64
+	// Event is the id of the death, the same for all requests that ran.
+	Event string
+	At    time.Time
+}
+
+// With returns a table after the crashes. Equal events count once.
+func (t Table) With(crashes []Crash, now time.Time) Table {
 	n := t.fresh(now)
+	for _, c := range crashes {
+		r := n.records[c.Fingerprint]
+		i, seen := slices.BinarySearch(r.events, c.Event)
+		if seen {
+			continue
+		}
+		r.events = slices.Insert(slices.Clone(r.events), i, c.Event)
+		if c.At.After(r.last) {
+			r.last = c.At
+		}
+		n.records[c.Fingerprint] = r
+	}
+	return n
+}
+
+// WithCrash returns a table after the requests ran during the death of an upstream.
+func (t Table) WithCrash(running []uint64, event string, now time.Time) Table {
+	crashes := make([]Crash, 0, len(running))
 	for _, f := range running {
-		r := n.records[f]
-		if i, seen := slices.BinarySearch(r.events, event); !seen {
-			r.events = slices.Insert(slices.Clone(r.events), i, event)
-			r.last = now
+		crashes = append(crashes, Crash{f, event, now})
+	}
+	return t.With(crashes, now)
+}
+
+// Without returns a table without the crashes.
+func (t Table) Without(crashes []Crash, now time.Time) Table {
+	n := t.fresh(now)
+	for _, c := range crashes {
+		r, ok := n.records[c.Fingerprint]
+		if !ok {
+			continue
+		}
+		r.events = slices.DeleteFunc(slices.Clone(r.events), func(e string) bool { return e == c.Event })
+		n.records[c.Fingerprint] = r
+		if len(r.events) == 0 {
+			delete(n.records, c.Fingerprint)
 		}
-		n.records[f] = r
 	}
 	return n
 }
 
+// Empty returns a table with the same settings and no records.
+func (t Table) Empty() Table {
+	t.records = nil
+	return t
+}
+
 // WithSuccess returns a table after a request ran to its end. That of a quarantined one counts only as a trial.
 func (t Table) WithSuccess(fingerprint uint64, now time.Time) Table {
 	if t.Verdict(fingerprint, now) != Suspect {
--- a/internal/sched/poison/table_test.go
+++ b/internal/sched/poison/table_test.go
@@ -62,7 +62,7 @@
 			}
 			is.Equal(tab.Verdict(1, now.Add(tt.after)), tt.want)
 			is.Equal(tab.TrialIn(1, now.Add(tt.after)), tt.trial)
-			is.Equal(tab.Crashes(2, now), tt.crashes) // Its success cleared no other request.
+			is.Equal(len(tab.Events(2, now)), tt.crashes) // Its success cleared no other request.
 		})
 	}
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -59,6 +59,8 @@
 	Settings Feed = iota
 	// Upstreams is what upstreams tell of themselves.
 	Upstreams
+	// Crashes is what gateways tell each other of requests that crash upstreams.
+	Crashes
 )
 
 // Assignment is what a member of the group holds.
@@ -83,12 +85,15 @@
 	Newest(ctx context.Context, partition int, after string, take func(Record)) (Page, error)
 }
 
-// Feeds reads what operators and upstreams publish.
+// Feeds reads what operators, upstreams and gateways publish.
 type Feeds interface {
 	// Snapshot returns the newest record of each key of the feed.
 	Snapshot(ctx context.Context, f Feed) (Batch, error)
 	// Follow returns records from the offset on, and waits up to wait for the first.
 	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (Batch, error)
+	// Publish adds records to a feed of the product's own, all or none. It has no fence: after ErrUnknown the records may
+	// still be added, and may be published again.
+	Publish(ctx context.Context, f Feed, records []Record) error
 }
 
 // Group spreads the partitions over the members that keep joining.
