Count crashes whose upstream falls silent, is back at once or outlives its caller's patience

Cause: a death counted only if the upstream refused a connection 50 ms after the broken answer while the caller still waited. Class: one sign of a failure taken for all of them. Change: each request that got no whole answer is a case, also when this side gave up; the end of its upstream within six seconds, by the announcements or by another instance at its address, proves it. Upstreams that said that they leave are excused, and those that lapse while the store is away until they stay away. Ruled out: a probe of every abandoned request: connections to upstreams for each caller that leaves.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -53,9 +53,17 @@
 		j.route.Name, j.fingerprint()).WithRetryAfter(trialIn)
 }
 
-// suspect looks whether the upstream that broke an answer off is dead, and tells all gateways if so.
-func (g *Gate) suspect(j *job, u roster.Upstream) {
+// suspect finds out whether the upstream that gave no whole answer died. It may have ended before, its end may become known
+// later, or it refuses connections. Where this side ended the exchange, the upstream is not asked.
+func (g *Gate) suspect(ctx context.Context, j *job, u roster.Upstream) {
 	fingerprint := j.fingerprint()
+	if g.suspects.unanswered(startOf(u), poison.Case{Fingerprint: fingerprint, Request: j.call.ID, At: time.Now()}) {
+		g.crashed(u, j.call.ID, fingerprint)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
 	g.group.Go(func(ctx context.Context) error {
 		select {
 		case <-time.After(crashProbeAfter):
@@ -68,7 +76,8 @@
 			g.crashed(u, j.call.ID, fingerprint)
 			return nil
 		}
-		// An upstream that connects may be back already, one that does not answer may be cut off.
+		// An upstream that connects may be back already, one that does not answer may be cut off. The end of its announcement
+		// would tell.
 		g.note("crash_doubtful", "upstream", u.Instance, "address", u.Address, "request", j.call.ID,
 			"fingerprint", hex(fingerprint), "connects", err == nil)
 		if err == nil {
@@ -78,6 +87,17 @@
 	})
 }
 
+// blameEnds takes the ends of upstreams as proof against the requests that they did not answer.
+func (g *Gate) blameEnds() {
+	for _, u := range g.roster.Ended() {
+		for _, k := range g.suspects.ended(startOf(u), time.Now()) {
+			g.crashed(u, k.Request, k.Fingerprint)
+		}
+	}
+}
+
+func startOf(u roster.Upstream) poison.Start { return poison.Start{Instance: u.Instance, Born: u.Born} }
+
 // crashed notes that an upstream died while it ran the request. All gateways learn it from the store; peers are told as
 // well, since the store may be away.
 func (g *Gate) crashed(u roster.Upstream, request string, fingerprint uint64) {
--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -80,6 +80,7 @@
 		}
 	}
 	g.roster.Replace(list, time.Now())
+	g.blameEnds()
 	g.listed.Store(true)
 	g.note("upstreams_listed", "count", len(list))
 }
@@ -106,6 +107,7 @@
 			g.note("upstream_draining", "upstream", r.Key, "address", u.Address)
 		}
 	}
+	g.blameEnds()
 }
 
 func (g *Gate) upstream(r store.Record) (roster.Upstream, bool) {
--- a/internal/role/gate/gate.go
+++ b/internal/role/gate/gate.go
@@ -141,6 +141,7 @@
 		case now := <-sweep.C:
 			g.pool.Sweep(now)
 			g.roster.Settle(now)
+			g.blameEnds()
 			g.sweepCrashes(now)
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.Located() && !g.stop.begun() && !g.ready.On() {
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -210,9 +210,7 @@
 // broken notes that an upstream may have run the call and gave no whole answer.
 func (g *Gate) broken(ctx context.Context, a *attempts, u roster.Upstream, err error) {
 	a.ran, a.last = true, err
-	if ctx.Err() == nil {
-		g.suspect(a.job, u)
-	}
+	g.suspect(ctx, a.job, u)
 	g.outcome(ctx, a, u, roster.Broken, err)
 }
 
--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -26,6 +26,11 @@
 	// crash the time grows, so that it runs three more times within some days. convictionLife is how long it is remembered.
 	trialAfter     = time.Hour
 	convictionLife = 7 * 24 * time.Hour
+	// caseWindow is how long before or after the end of its upstream became known a request may have been left without an
+	// answer. Announcements lapse after three heartbeats of some 1.2 s, callers wait for some seconds.
+	caseWindow = 6 * time.Second
+	// mostCases bounds the requests without an answer that are remembered.
+	mostCases = 2000
 	// crashesWait is how long one reading of the crashes waits for the first. A connection that has gone silent is noticed
 	// only after it.
 	crashesWait = 2 * time.Second
@@ -48,6 +53,7 @@
 type suspects struct {
 	mu    sync.Mutex
 	table poison.Table
+	cases *poison.Cases
 	// unpublished holds the records that the store has not confirmed.
 	unpublished map[string]store.Record
 	// dropped counts records that found no room there since it was last logged.
@@ -61,6 +67,7 @@
 func newSuspects() *suspects {
 	return &suspects{
 		table:       poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife),
+		cases:       poison.NewCases(caseWindow, mostCases),
 		unpublished: make(map[string]store.Record), wake: make(chan struct{}, 1),
 	}
 }
@@ -121,6 +128,20 @@
 	return poison.Crash{Fingerprint: n.Fingerprint, Event: n.Event, At: time.UnixMilli(n.AtMS)}
 }
 
+// unanswered takes a request that got no whole answer, and reports whether its upstream is known to have ended.
+func (s *suspects) unanswered(st poison.Start, c poison.Case) (proved bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cases.Add(st, c)
+}
+
+// ended takes the end of an upstream and returns the requests that it left without an answer.
+func (s *suspects) ended(st poison.Start, now time.Time) []poison.Case {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cases.Ended(st, now)
+}
+
 // seen takes a crash that this process noticed, to be published. It returns how many are known of the request, and whether
 // this one was not.
 func (s *suspects) seen(c poison.Crash) (known int, fresh bool) {
--- /dev/null
+++ b/internal/sched/poison/cases_test.go
@@ -0,0 +1,56 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestCases(t *testing.T) {
+	const window = 6 * time.Second
+	a, b, again := Start{"a", 1}, Start{"b", 1}, Start{"a", 2}
+	tests := []struct {
+		name string
+		// start is where the request ran, ended which upstream ends, after so long; before says that it ended before the
+		// request did.
+		start, ended Start
+		after        time.Duration
+		before       bool
+		proved       bool
+	}{
+		{"its upstream ends", a, a, time.Second, false, true},
+		{"its upstream had ended", a, a, time.Second, true, true},
+		{"much later", a, a, window + time.Second, false, false},
+		{"much earlier", a, a, window + time.Second, true, false},
+		{"another upstream ends", a, b, time.Second, false, false},
+		{"a later start ends", a, again, time.Second, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c, now := NewCases(window, 10), time.Unix(1000, 0)
+			k := Case{Fingerprint: 7, Request: "r", At: now}
+			if tt.before {
+				is.Equal(len(c.Ended(tt.ended, now.Add(-tt.after))), 0)
+				is.Equal(c.Add(tt.start, k), tt.proved)
+				return
+			}
+			is.Equal(c.Add(tt.start, k), false)
+			got := c.Ended(tt.ended, now.Add(tt.after))
+			is.Equal(len(got) == 1, tt.proved)
+			is.Equal(len(c.Ended(tt.ended, now.Add(tt.after))), 0) // An end proves a case once.
+		})
+	}
+}
+
+func TestCasesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c, now := NewCases(time.Minute, 3), time.Unix(1000, 0)
+	for i := range 10 {
+		c.Add(Start{"a", 1}, Case{Fingerprint: uint64(i), At: now})
+	}
+	got := c.Ended(Start{"a", 1}, now)
+	is.Equal(len(got), 3)
+	is.Equal(got[0].Fingerprint, uint64(7)) // The oldest yield.
+}
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -110,6 +110,8 @@
 	// leaving holds the upstreams that said themselves that they leave, and when. It outlasts their announcements, which
 	// may be older.
 	leaving map[start]time.Time
+	// ended holds the upstreams that ended without a word since Ended was last called.
+	ended []Upstream
 }
 
 // start is one start of an upstream.
@@ -136,6 +138,22 @@
 	return !known
 }
 
+// Ended returns the upstreams that ended without having said that they leave, since the last call.
+func (t *Table) Ended() []Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.ended
+	t.ended = nil
+	return out
+}
+
+// end notes that an upstream is gone. The caller holds the lock.
+func (t *Table) end(s *state) {
+	if !s.Draining {
+		t.ended = append(t.ended, s.Upstream)
+	}
+}
+
 // Hold keeps upstreams whose announcements vanish until the time given.
 func (t *Table) Hold(until time.Time) {
 	t.mu.Lock()
@@ -152,6 +170,7 @@
 	if !ok || s.Born != u.Born || s.Address != u.Address {
 		if ok {
 			gone = s.Address
+			t.end(s)
 		}
 		s = &state{}
 		t.m[u.Instance] = s
@@ -177,6 +196,7 @@
 		return ""
 	}
 	delete(t.m, instance)
+	t.end(s)
 	return s.Address
 }
 
@@ -208,7 +228,12 @@
 		return
 	}
 	maps.DeleteFunc(t.leaving, func(_ start, at time.Time) bool { return now.Sub(at) > leavingLife })
-	maps.DeleteFunc(t.m, func(_ string, s *state) bool { return !s.missing.IsZero() })
+	maps.DeleteFunc(t.m, func(_ string, s *state) bool {
+		if !s.missing.IsZero() {
+			t.end(s)
+		}
+		return !s.missing.IsZero()
+	})
 }
 
 // Want says what an upstream is chosen for.
@@ -323,6 +348,7 @@
 		c, changed = s.answered(true, now)
 	case Misdirected:
 		delete(t.m, instance)
+		t.end(s)
 	}
 	return c, changed
 }
