Let no failure clear a request that crashes upstreams

Cause: any whole answer cleared it, a 500 of a worker that fails at once included, which draws such work. Change: only answers below 500 show that the request ran to its end.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -116,8 +117,11 @@
 	})
 }
 
-// cleared forgets the crashes of a request that was answered whole.
+// cleared forgets the crashes of a request that was answered whole. An upstream that failed may not have run it.
 func (g *Gate) cleared(j *job, u roster.Upstream, status int) {
+	if status >= http.StatusInternalServerError {
+		return
+	}
 	if n := g.suspects.served(j.fingerprint(), time.Now()); n > 0 {
 		g.note("suspect_answered", "request", j.call.ID, "fingerprint", hex(j.hash), "status", status, "crashes", n,
 			"upstream", u.Instance)
