Know a crashing turn by its input wherever it comes again

Cause: the fingerprint of a turn took in the turn that it continues, so the same input behind another turn was another request. Change: a turn that continues another one has a second fingerprint without that; each is counted, refused and cleared by itself, so that a harmless turn with the same words does not clear one whose chain does the harm.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -25,17 +25,21 @@
 	crashProbeTimeout = 300 * time.Millisecond
 )
 
-// fingerprint identifies a request over its attempts, which have ids of their own.
-func (j *job) fingerprint() uint64 {
-	if !j.hashed {
-		j.hash, j.hashed = j.sum(), true
+// fingerprints identify a request over its attempts, which have ids of their own: the first one the request as it is, a
+// second one a turn's input wherever in a chain it comes again.
+func (j *job) fingerprints() []uint64 {
+	if j.prints == nil {
+		j.prints = []uint64{j.sum(j.call.Turn.Previous)}
+		if j.call.Turn.Previous != "" {
+			j.prints = append(j.prints, j.sum(""))
+		}
 	}
-	return j.hash
+	return j.prints
 }
 
-func (j *job) sum() uint64 {
+func (j *job) sum(previous string) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{j.call.Method, j.call.Host, j.call.Target, j.workspace.Name, j.call.Turn.Previous} {
+	for _, s := range []string{j.call.Method, j.call.Host, j.call.Target, j.workspace.Name, previous} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
@@ -45,21 +49,24 @@
 
 // quarantine refuses a request that has crashed too many upstreams.
 func (g *Gate) quarantine(j *job) *fault.Fault {
-	v, trialIn := g.suspects.verdict(j.fingerprint(), time.Now())
-	if v != poison.Quarantined {
-		return nil
+	for _, f := range j.fingerprints() {
+		v, trialIn := g.suspects.verdict(f, time.Now())
+		if v != poison.Quarantined {
+			continue
+		}
+		g.metrics.Add("quarantined", 1)
+		return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q, fingerprint %016x", crashLimit,
+			j.route.Name, f).WithRetryAfter(trialIn)
 	}
-	g.metrics.Add("quarantined", 1)
-	return g.refuse(fault.NoUpstream, "quarantine", "the request crashed %d upstreams of route %q, fingerprint %016x", crashLimit,
-		j.route.Name, j.fingerprint()).WithRetryAfter(trialIn)
+	return nil
 }
 
 // suspect finds out whether the upstream that gave no whole answer died. It may have ended before, its end may become known
 // later, or it refuses connections. Where this side ended the exchange, the upstream is not asked.
 func (g *Gate) suspect(ctx context.Context, j *job, u roster.Upstream) {
-	fingerprint := j.fingerprint()
-	if g.suspects.unanswered(startOf(u), poison.Case{Fingerprint: fingerprint, Request: j.call.ID, At: time.Now()}) {
-		g.crashed(u, j.call.ID, fingerprint)
+	prints := j.fingerprints()
+	if g.suspects.unanswered(startOf(u), poison.Case{Fingerprints: prints, Request: j.call.ID, At: time.Now()}) {
+		g.crashed(u, j.call.ID, prints)
 		return
 	}
 	if ctx.Err() != nil {
@@ -74,13 +81,13 @@
 		d := net.Dialer{Timeout: crashProbeTimeout}
 		c, err := d.DialContext(ctx, "tcp", u.Address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			g.crashed(u, j.call.ID, fingerprint)
+			g.crashed(u, j.call.ID, prints)
 			return nil
 		}
 		// An upstream that connects may be back already, one that does not answer may be cut off. The end of its announcement
 		// would tell.
 		g.note("crash_doubtful", "upstream", u.Instance, "address", u.Address, "request", j.call.ID,
-			"fingerprint", hex(fingerprint), "connects", err == nil)
+			"fingerprint", hex(prints[0]), "connects", err == nil)
 		if err == nil {
 			return c.Close()
 		}
@@ -92,7 +99,7 @@
 func (g *Gate) blameEnds() {
 	for _, u := range g.roster.Ended() {
 		for _, k := range g.suspects.ended(startOf(u), time.Now()) {
-			g.crashed(u, k.Request, k.Fingerprint)
+			g.crashed(u, k.Request, k.Fingerprints)
 		}
 	}
 }
@@ -101,20 +108,22 @@
 
 // crashed notes that an upstream died while it ran the request. All gateways learn it from the store; peers are told as
 // well, since the store may be away.
-func (g *Gate) crashed(u roster.Upstream, request string, fingerprint uint64) {
-	c := poison.Crash{Fingerprint: fingerprint, Event: deathOf(u), At: time.Now()}
-	known, fresh := g.suspects.seen(c)
-	if !fresh {
-		return
-	}
-	g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
-		"fingerprint", hex(fingerprint), "crashes", known, "told", len(g.owner.Peers()))
-	g.group.Go(func(ctx context.Context) error {
-		if err := tell(ctx, g, crashPath, noticeOf(c)); err != nil {
-			g.note("crash_not_told", "fingerprint", hex(fingerprint), "cause", err)
+func (g *Gate) crashed(u roster.Upstream, request string, fingerprints []uint64) {
+	for _, f := range fingerprints {
+		c := poison.Crash{Fingerprint: f, Event: deathOf(u), At: time.Now()}
+		known, fresh := g.suspects.seen(c)
+		if !fresh {
+			continue
 		}
-		return nil
-	})
+		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
+			"fingerprint", hex(f), "crashes", known, "told", len(g.owner.Peers()))
+		g.group.Go(func(ctx context.Context) error {
+			if err := tell(ctx, g, crashPath, noticeOf(c)); err != nil {
+				g.note("crash_not_told", "fingerprint", hex(f), "cause", err)
+			}
+			return nil
+		})
+	}
 }
 
 // cleared forgets the crashes of a request that was answered whole. An upstream that failed may not have run it.
@@ -122,9 +131,11 @@
 	if status >= http.StatusInternalServerError {
 		return
 	}
-	if n := g.suspects.served(j.fingerprint(), time.Now()); n > 0 {
-		g.note("suspect_answered", "request", j.call.ID, "fingerprint", hex(j.hash), "status", status, "crashes", n,
-			"upstream", u.Instance)
+	for _, f := range j.fingerprints() {
+		if n := g.suspects.served(f, time.Now()); n > 0 {
+			g.note("suspect_answered", "request", j.call.ID, "fingerprint", hex(f), "status", status, "crashes", n,
+				"upstream", u.Instance)
+		}
 	}
 }
 
--- a/internal/role/gate/plain.go
+++ b/internal/role/gate/plain.go
@@ -221,7 +221,7 @@
 	}
 	g.done(u, o)
 	g.note("try_failed", "request", a.call.ID, "upstream", u.Instance, "address", u.Address, "sent", a.sent,
-		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "fingerprint", hex(a.fingerprint()), "cause", err)
+		"may_have_run", a.ran, "abandoned", o == roster.Abandoned, "fingerprint", hex(a.fingerprints()[0]), "cause", err)
 }
 
 // ended notes that the upstream's whole answer arrived.
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -29,9 +29,8 @@
 	version int64
 	// until is when the call must be answered: the caller's deadline or the route's timeout, whichever is earlier.
 	until time.Time
-	// hash is the fingerprint once hashed is set.
-	hash   uint64
-	hashed bool
+	// prints are the fingerprints once they were asked for.
+	prints []uint64
 }
 
 // Serve answers one call. It returns nil after a whole answer, and otherwise the fault: if Head was called before,
--- a/internal/sched/poison/cases.go
+++ b/internal/sched/poison/cases.go
@@ -13,7 +13,8 @@
 
 // Case is a request whose upstream gave it no whole answer, for whatever reason.
 type Case struct {
-	Fingerprint uint64
+	// Fingerprints are those under which the request may come again.
+	Fingerprints []uint64
 	// Request is the caller's id of the attempt.
 	Request string
 	At      time.Time
--- a/internal/sched/poison/cases_test.go
+++ b/internal/sched/poison/cases_test.go
@@ -30,7 +30,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c, now := NewCases(window, 10), time.Unix(1000, 0)
-			k := Case{Fingerprint: 7, Request: "r", At: now}
+			k := Case{Fingerprints: []uint64{7}, Request: "r", At: now}
 			if tt.before {
 				is.Equal(len(c.Ended(tt.ended, now.Add(-tt.after))), 0)
 				is.Equal(c.Add(tt.start, k), tt.proved)
@@ -48,9 +48,9 @@
 	is := is.New(t)
 	c, now := NewCases(time.Minute, 3), time.Unix(1000, 0)
 	for i := range 10 {
-		c.Add(Start{"a", 1}, Case{Fingerprint: uint64(i), At: now})
+		c.Add(Start{"a", 1}, Case{Fingerprints: []uint64{uint64(i)}, At: now})
 	}
 	got := c.Ended(Start{"a", 1}, now)
 	is.Equal(len(got), 3)
-	is.Equal(got[0].Fingerprint, uint64(7)) // The oldest yield.
+	is.Equal(got[0].Fingerprints, []uint64{7}) // The oldest yield.
 }
