Bound what is remembered of crashes, and tell peers only what the store does not take

Cause: found on reading the change: a service that crashes again and again under ever new requests makes hundreds of suspects a second, each of them told to two dozen peers and kept for an hour; a small edge has 112 MB. Peers are told in one message, and only while the store does not take the records.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -106,8 +106,7 @@
 
 func startOf(u roster.Upstream) poison.Start { return poison.Start{Instance: u.Instance, Born: u.Born} }
 
-// crashed notes that an upstream died while it ran the request. All gateways learn it from the store; peers are told as
-// well, since the store may be away.
+// crashed notes that an upstream died while it ran the request. All gateways learn it from the store.
 func (g *Gate) crashed(u roster.Upstream, request string, fingerprints []uint64) {
 	for _, f := range fingerprints {
 		c := poison.Crash{Fingerprint: f, Event: deathOf(u), At: time.Now()}
@@ -116,13 +115,7 @@
 			continue
 		}
 		g.note("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
-			"fingerprint", hex(f), "crashes", known, "told", len(g.owner.Peers()))
-		g.group.Go(func(ctx context.Context) error {
-			if err := tell(ctx, g, crashPath, noticeOf(c)); err != nil {
-				g.note("crash_not_told", "fingerprint", hex(f), "cause", err)
-			}
-			return nil
-		})
+			"fingerprint", hex(f), "crashes", known)
 	}
 }
 
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"galenaward.example/galenaward/internal/plat/fault"
-	"galenaward.example/galenaward/internal/sched/poison"
 	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/store"
 	"galenaward.example/galenaward/internal/state/turns"
@@ -183,7 +182,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+crashPath, answer(g, func(_ context.Context, n crashNotice) (struct{}, error) {
-		g.heardOfCrashes([]poison.Crash{n.crash()}, "peer")
+		g.takeCrashes(n.Records, "peer")
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+failPath, answer(g, func(_ context.Context, n failNotice) (struct{}, error) {
--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -42,8 +42,14 @@
 	// maxUnpublished bounds the records that wait for the store.
 	maxUnpublished = 4096
 	// sweepCrashesEvery is the time between two searches for records to remove, sweepPartition the one whose holder searches.
+	// Younger records than sweepAfter stay, since the table may not have them yet.
 	sweepCrashesEvery = 30 * time.Second
+	sweepAfter        = time.Minute
 	sweepPartition    = 0
+	// mostSuspects bounds the requests that are remembered, which take some 200 bytes each.
+	mostSuspects = 10_000
+	// heardLines is the most log lines about crashes that are heard of at once.
+	heardLines = 8
 )
 
 var errCrashRecord = errors.New("not a record of a crash")
@@ -66,7 +72,7 @@
 
 func newSuspects() *suspects {
 	return &suspects{
-		table:       poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife),
+		table:       poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife).WithMost(mostSuspects),
 		cases:       poison.NewCases(caseWindow, mostCases),
 		unpublished: make(map[string]store.Record), wake: make(chan struct{}, 1),
 	}
@@ -113,19 +119,9 @@
 	return c, false, nil
 }
 
-// crashNotice tells a peer of an upstream that died while it ran a request.
+// crashNotice tells a peer what the store does not take at the moment.
 type crashNotice struct {
-	Fingerprint uint64 `json:"fingerprint"`
-	Event       string `json:"event"`
-	AtMS        int64  `json:"at_ms"`
-}
-
-func noticeOf(c poison.Crash) crashNotice {
-	return crashNotice{c.Fingerprint, c.Event, c.At.UnixMilli()}
-}
-
-func (n crashNotice) crash() poison.Crash {
-	return poison.Crash{Fingerprint: n.Fingerprint, Event: n.Event, At: time.UnixMilli(n.AtMS)}
+	Records []store.Record `json:"records"`
 }
 
 // unanswered takes a request that got no whole answer, and reports whether its upstream is known to have ended.
@@ -252,7 +248,7 @@
 	defer s.mu.Unlock()
 	for _, r := range records {
 		c, gone, err := parseCrash(r)
-		if err == nil && !gone && now.Sub(c.At) > suspicionLife && s.table.Verdict(c.Fingerprint, now) == poison.Clear {
+		if err == nil && !gone && now.Sub(c.At) > sweepAfter && s.table.Verdict(c.Fingerprint, now) == poison.Clear {
 			s.publish(store.Record{Key: r.Key})
 		}
 	}
@@ -269,37 +265,38 @@
 	return true
 }
 
-// heardOfCrashes takes crashes that others noticed.
-func (g *Gate) heardOfCrashes(crashes []poison.Crash, source string) {
+// takeCrashes takes what others noticed.
+func (g *Gate) takeCrashes(records []store.Record, source string) {
+	crashes, gone := g.parseCrashes(records)
 	now := time.Now()
-	for _, c := range g.suspects.heard(crashes, now) {
+	for i, c := range g.suspects.heard(crashes, now) {
+		if i == heardLines {
+			g.note("crashes_heard", "records", len(crashes), "source", source)
+			break
+		}
 		g.note("crash_heard", "fingerprint", hex(c.Fingerprint), "death", c.Event, "source", source,
 			"age_ms", now.Sub(c.At).Milliseconds())
 	}
+	g.suspects.withdrawn(gone, now)
 }
 
 // followCrashes keeps what all gateways know of requests that crash upstreams.
 func (g *Gate) followCrashes(ctx context.Context) error {
 	f := follower{
-		gate: g, feed: store.Crashes, wait: crashesWait, pause: crashesPause, whole: g.replaceCrashes, part: g.takeCrashes,
+		gate: g, feed: store.Crashes, wait: crashesWait, pause: crashesPause, whole: g.replaceCrashes,
+		part: func(b store.Batch) { g.takeCrashes(b.Records, "store") },
 	}
 	return f.run(ctx)
 }
 
 func (g *Gate) replaceCrashes(b store.Batch) {
-	crashes, _ := g.parseCrashes(b)
+	crashes, _ := g.parseCrashes(b.Records)
 	g.suspects.listed(crashes, time.Now())
 	g.note("crashes_listed", "count", len(crashes))
 }
 
-func (g *Gate) takeCrashes(b store.Batch) {
-	crashes, gone := g.parseCrashes(b)
-	g.heardOfCrashes(crashes, "store")
-	g.suspects.withdrawn(gone, time.Now())
-}
-
-func (g *Gate) parseCrashes(b store.Batch) (crashes, gone []poison.Crash) {
-	for _, r := range b.Records {
+func (g *Gate) parseCrashes(records []store.Record) (crashes, gone []poison.Crash) {
+	for _, r := range records {
 		c, ended, err := parseCrash(r)
 		switch {
 		case err != nil:
@@ -313,9 +310,9 @@
 	return crashes, gone
 }
 
-// publishCrashes puts into the store what this process noticed, until the store has it.
+// publishCrashes puts into the store what this process noticed, until the store has it. Peers are told meanwhile.
 func (g *Gate) publishCrashes(ctx context.Context) error {
-	failed := false
+	told := make(map[string]bool)
 	for {
 		records, dropped := g.suspects.unsent()
 		if dropped > 0 {
@@ -334,12 +331,17 @@
 		cancel()
 		if err == nil {
 			g.suspects.published(records)
-			failed = false
+			clear(told)
 			continue
 		}
-		if !failed && ctx.Err() == nil {
-			failed = true
-			g.note("crashes_unpublished", "records", len(records), "cause", err)
+		if news := slices.DeleteFunc(records, func(r store.Record) bool { return told[r.Key] }); len(news) > 0 {
+			for _, r := range news {
+				told[r.Key] = true
+			}
+			g.note("crashes_unpublished", "records", len(news), "peers", len(g.owner.Peers()), "cause", err)
+			if err := tell(ctx, g, crashPath, crashNotice{news}); err != nil {
+				g.note("crash_not_told", "records", len(news), "cause", err)
+			}
 		}
 		select {
 		case <-time.After(publishPause):
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -4,6 +4,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -44,6 +45,8 @@
 	// trial is how long after its last crash a quarantined request may run once more, which grows with each further
 	// crash; keep is how long it is remembered. Neither is below zero.
 	trial, keep time.Duration
+	// most bounds the records; 0 is no bound. Those whose last crash is oldest yield, and quarantined ones after all others.
+	most int
 }
 
 // NewTable returns a table that forgets a request after the life time.
@@ -64,6 +67,12 @@
 	return t
 }
 
+// WithMost returns a table that holds so many records at the most.
+func (t Table) WithMost(records int) Table {
+	t.most = records
+	return t
+}
+
 // known returns the record of a request that is not forgotten.
 func (t Table) known(fingerprint uint64, now time.Time) (record, bool) {
 	r, ok := t.records[fingerprint]
@@ -139,9 +148,28 @@
 		}
 		n.records[c.Fingerprint] = r
 	}
+	n.evict()
 	return n
 }
 
+// evict drops records beyond the bound, some more than needed so that not each crash has to. Only a table that is not
+// shared yet may be changed so.
+func (t Table) evict() {
+	if t.most == 0 || len(t.records) <= t.most {
+		return
+	}
+	fingerprints := slices.SortedFunc(maps.Keys(t.records), func(a, b uint64) int {
+		ra, rb := t.records[a], t.records[b]
+		if c := cmp.Compare(min(len(ra.events), t.limit)/t.limit, min(len(rb.events), t.limit)/t.limit); c != 0 {
+			return c
+		}
+		return ra.last.Compare(rb.last)
+	})
+	for _, f := range fingerprints[:len(t.records)-t.most*9/10] {
+		delete(t.records, f)
+	}
+}
+
 // WithCrash returns a table after the requests ran during the death of an upstream.
 func (t Table) WithCrash(running []uint64, event string, now time.Time) Table {
 	crashes := make([]Crash, 0, len(running))
--- a/internal/sched/poison/table_test.go
+++ b/internal/sched/poison/table_test.go
@@ -66,3 +66,20 @@
 		})
 	}
 }
+
+// TestTableIsBounded is the pattern of a service whose upstreams all crash again and again under ever new requests.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	tab, now := NewTable(time.Hour).WithLimit(2).WithMost(100), time.Unix(1000, 0)
+	for _, event := range []string{"a", "b"} {
+		tab = tab.WithCrash([]uint64{7}, event, now)
+	}
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		tab = tab.WithCrash([]uint64{uint64(100 + i)}, "c", now)
+		is.True(tab.Len() <= 100)
+	}
+	is.Equal(tab.Verdict(7, now), Quarantined)
+	is.Equal(tab.Verdict(100+9_999, now), Suspect)
+	is.Equal(tab.Verdict(100, now), Clear)
+}
