Send reports of spent tokens that stand alone

Cause: a question to the keeper with nothing but a report of spent loans counted as empty: the report was taken from the purse and dropped, and the keeper counted the loan as outstanding until it lapsed, so it granted less than it could.

--- a/internal/sched/rate/purse.go
+++ b/internal/sched/rate/purse.go
@@ -69,7 +69,9 @@
 func (p Purse) Owes() bool { return p.returned > 0 }
 
 // Empty reports whether there is nothing to ask or to tell.
-func (a Ask) Empty() bool { return a.Waiting == 0 && a.Ahead == 0 && a.Returned == 0 }
+func (a Ask) Empty() bool {
+	return a.Waiting == 0 && a.Ahead == 0 && a.Returned == 0 && len(a.Spent) == 0
+}
 
 // Ask returns what to ask of the keeper, and the purse after that was sent.
 func (p Purse) Ask(owner int64, now time.Time) (Purse, Ask) {
