--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -34,8 +34,9 @@
 	// crashesWait is how long one reading of the crashes waits for the first. A connection that has gone silent is noticed
 	// only after it.
 	crashesWait = 2 * time.Second
-	// crashesPause is the time between two readings. An upstream that dies makes several records.
-	crashesPause = 50 * time.Millisecond
+	// crashesPause is the time between two readings. An upstream that dies makes several records, and all gateways must know
+	// within some seconds.
+	crashesPause = 500 * time.Millisecond
 	// publishTimeout bounds one try to publish crashes, publishPause is the time between two.
 	publishTimeout = 600 * time.Millisecond
 	publishPause   = 300 * time.Millisecond
