--- /dev/null
+++ b/internal/role/gate/crashrecord.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/sched/poison"
+	"galenaward.example/galenaward/internal/sched/roster"
+	"galenaward.example/galenaward/internal/state/store"
+)
+
+var errCrashRecord = errors.New("not a record of a crash")
+
+// deathOf returns the id of the end of an upstream's start.
+func deathOf(u roster.Upstream) string {
+	return hex(xxhash.Sum64String(u.Instance + "/" + strconv.FormatInt(u.Born, 10)))
+}
+
+func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
+
+// crashValue is the form of a crash in the store, under the fingerprint and the id of the death.
+type crashValue struct {
+	// AtMS is the Unix millisecond of the crash.
+	AtMS int64 `json:"at_ms"`
+}
+
+func crashKey(c poison.Crash) string { return hex(c.Fingerprint) + "/" + c.Event }
+
+func crashRecord(c poison.Crash) store.Record {
+	v, err := json.Marshal(crashValue{c.At.UnixMilli()})
+	if err != nil {
+		panic(err) // A struct of an integer.
+	}
+	return store.Record{Key: crashKey(c), Value: v}
+}
+
+// parseCrash reads a record. Gone means that the crash counts no more.
+func parseCrash(r store.Record) (c poison.Crash, gone bool, err error) {
+	fingerprint, event, _ := strings.Cut(r.Key, "/")
+	if c.Fingerprint, err = strconv.ParseUint(fingerprint, 16, 64); err != nil || event == "" {
+		return c, false, errors.Wrapf(errCrashRecord, "key %q", r.Key)
+	}
+	c.Event = event
+	if len(r.Value) == 0 {
+		return c, true, nil
+	}
+	var v crashValue
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return c, false, errors.Wrapf(err, "key %q", r.Key)
+	}
+	c.At = time.UnixMilli(v.AtMS)
+	return c, false, nil
+}
+
+// crashNotice tells a peer what the store does not take at the moment.
+type crashNotice struct {
+	Records []store.Record `json:"records"`
+}
--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -1,21 +1,12 @@
 package gate
 
 import (
-	"context"
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-
 	"galenaward.example/galenaward/internal/sched/poison"
-	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/store"
 )
 
@@ -31,30 +22,16 @@
 	caseWindow = 6 * time.Second
 	// mostCases bounds the requests without an answer that are remembered.
 	mostCases = 2000
-	// crashesWait is how long one reading of the crashes waits for the first. A connection that has gone silent is noticed
-	// only after it.
-	crashesWait = 2 * time.Second
-	// crashesPause is the time between two readings. An upstream that dies makes several records, and all gateways must know
-	// within some seconds.
-	crashesPause = 500 * time.Millisecond
-	// publishTimeout bounds one try to publish crashes, publishPause is the time between two.
-	publishTimeout = 600 * time.Millisecond
-	publishPause   = 300 * time.Millisecond
 	// maxUnpublished bounds the records that wait for the store.
 	maxUnpublished = 4096
-	// sweepCrashesEvery is the time between two searches for records to remove, sweepPartition the one whose holder searches.
-	// Younger records than sweepAfter stay, since the table may not have them yet.
+	// sweepCrashesEvery is the time between two searches for records to remove. Younger records than sweepAfter stay, since
+	// the table may not have them yet.
 	sweepCrashesEvery = 30 * time.Second
 	sweepAfter        = time.Minute
-	sweepPartition    = 0
 	// mostSuspects bounds the requests that are remembered, which take some 200 bytes each.
 	mostSuspects = 10_000
-	// heardLines is the most log lines about crashes that are heard of at once.
-	heardLines = 8
 )
 
-var errCrashRecord = errors.New("not a record of a crash")
-
 // suspects remembers the requests that ran while their upstreams died, at any gateway. What stands in the store outlasts
 // the processes.
 type suspects struct {
@@ -79,52 +56,6 @@
 	}
 }
 
-// deathOf returns the id of the end of an upstream's start.
-func deathOf(u roster.Upstream) string {
-	return hex(xxhash.Sum64String(u.Instance + "/" + strconv.FormatInt(u.Born, 10)))
-}
-
-func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
-
-// crashValue is the form of a crash in the store, under the fingerprint and the id of the death.
-type crashValue struct {
-	// AtMS is the Unix millisecond of the crash.
-	AtMS int64 `json:"at_ms"`
-}
-
-func crashKey(c poison.Crash) string { return hex(c.Fingerprint) + "/" + c.Event }
-
-func crashRecord(c poison.Crash) store.Record {
-	v, err := json.Marshal(crashValue{c.At.UnixMilli()})
-	if err != nil {
-		panic(err) // A struct of an integer.
-	}
-	return store.Record{Key: crashKey(c), Value: v}
-}
-
-// parseCrash reads a record. Gone means that the crash counts no more.
-func parseCrash(r store.Record) (c poison.Crash, gone bool, err error) {
-	fingerprint, event, _ := strings.Cut(r.Key, "/")
-	if c.Fingerprint, err = strconv.ParseUint(fingerprint, 16, 64); err != nil || event == "" {
-		return c, false, errors.Wrapf(errCrashRecord, "key %q", r.Key)
-	}
-	c.Event = event
-	if len(r.Value) == 0 {
-		return c, true, nil
-	}
-	var v crashValue
-	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return c, false, errors.Wrapf(err, "key %q", r.Key)
-	}
-	c.At = time.UnixMilli(v.AtMS)
-	return c, false, nil
-}
-
-// crashNotice tells a peer what the store does not take at the moment.
-type crashNotice struct {
-	Records []store.Record `json:"records"`
-}
-
 // unanswered takes a request that got no whole answer, and reports whether its upstream is known to have ended.
 func (s *suspects) unanswered(st poison.Start, c poison.Case) (proved bool) {
 	s.mu.Lock()
@@ -265,99 +196,3 @@
 	s.swept = now
 	return true
 }
-
-// takeCrashes takes what others noticed.
-func (g *Gate) takeCrashes(records []store.Record, source string) {
-	crashes, gone := g.parseCrashes(records)
-	now := time.Now()
-	for i, c := range g.suspects.heard(crashes, now) {
-		if i == heardLines {
-			g.note("crashes_heard", "records", len(crashes), "source", source)
-			break
-		}
-		g.note("crash_heard", "fingerprint", hex(c.Fingerprint), "death", c.Event, "source", source,
-			"age_ms", now.Sub(c.At).Milliseconds())
-	}
-	g.suspects.withdrawn(gone, now)
-}
-
-// followCrashes keeps what all gateways know of requests that crash upstreams.
-func (g *Gate) followCrashes(ctx context.Context) error {
-	f := follower{
-		gate: g, feed: store.Crashes, wait: crashesWait, pause: crashesPause, whole: g.replaceCrashes,
-		part: func(b store.Batch) { g.takeCrashes(b.Records, "store") },
-	}
-	return f.run(ctx)
-}
-
-func (g *Gate) replaceCrashes(b store.Batch) {
-	crashes, _ := g.parseCrashes(b.Records)
-	g.suspects.listed(crashes, time.Now())
-	g.note("crashes_listed", "count", len(crashes))
-}
-
-func (g *Gate) parseCrashes(records []store.Record) (crashes, gone []poison.Crash) {
-	for _, r := range records {
-		c, ended, err := parseCrash(r)
-		switch {
-		case err != nil:
-			g.note("crash_record_skipped", "key", r.Key, "cause", err)
-		case ended:
-			gone = append(gone, c)
-		default:
-			crashes = append(crashes, c)
-		}
-	}
-	return crashes, gone
-}
-
-// publishCrashes puts into the store what this process noticed, until the store has it. Peers are told meanwhile.
-func (g *Gate) publishCrashes(ctx context.Context) error {
-	told := make(map[string]bool)
-	for {
-		records, dropped := g.suspects.unsent()
-		if dropped > 0 {
-			g.note("crashes_dropped", "records", dropped)
-		}
-		if len(records) == 0 {
-			select {
-			case <-g.suspects.wake:
-				continue
-			case <-ctx.Done():
-				return nil
-			}
-		}
-		pctx, cancel := context.WithTimeout(ctx, publishTimeout)
-		err := g.store.Publish(pctx, store.Crashes, records)
-		cancel()
-		if err == nil {
-			g.suspects.published(records)
-			clear(told)
-			continue
-		}
-		if news := slices.DeleteFunc(records, func(r store.Record) bool { return told[r.Key] }); len(news) > 0 {
-			for _, r := range news {
-				told[r.Key] = true
-			}
-			g.note("crashes_unpublished", "records", len(news), "peers", len(g.owner.Peers()), "cause", err)
-			if err := tell(ctx, g, crashPath, crashNotice{news}); err != nil {
-				g.note("crash_not_told", "records", len(news), "cause", err)
-			}
-		}
-		select {
-		case <-time.After(publishPause):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// sweepCrashes removes forgotten records from the store, at one gateway.
-func (g *Gate) sweepCrashes(now time.Time) {
-	if _, ok := g.owner.Held(sweepPartition); !ok || !g.suspects.due(now) {
-		return
-	}
-	if b, ok := g.recall.snapshot(store.Crashes); ok {
-		g.suspects.sweep(b.Records, now)
-	}
-}
