Try a request that crashed upstreams once more after ten minutes, then later by twelve times

Cause: on reading, a request that meets three dying workers by chance, as a lookup may in the loss of a zone, is refused until its trial. The test now plays a week of sends and holds.

--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -14,8 +14,8 @@
 	// suspicionLife is how long a request that crashed fewer upstreams than the limit is remembered.
 	suspicionLife = time.Hour
 	// trialAfter is when a request that crashed so many may run once more, in case it was not to blame; with each further
-	// crash the time grows, so that it runs three more times within some days. convictionLife is how long it is remembered.
-	trialAfter     = time.Hour
+	// crash the time grows, to two hours and to a day, so that a fourth trial falls behind convictionLife, when it is forgotten.
+	trialAfter     = 10 * time.Minute
 	convictionLife = 7 * 24 * time.Hour
 	// caseWindow is how long before or after the end of its upstream became known a request may have been left without an
 	// answer. Announcements lapse after three heartbeats of some 1.2 s, callers wait for some seconds.
--- a/internal/sched/poison/table.go
+++ b/internal/sched/poison/table.go
@@ -14,7 +14,7 @@
 const CrashLimit = 2
 
 // trialGrowth is how many times longer each further crash keeps a request from its next trial.
-const trialGrowth = 4
+const trialGrowth = 12
 
 // Verdict says how a request may run.
 type Verdict int
--- a/internal/sched/poison/table_test.go
+++ b/internal/sched/poison/table_test.go
@@ -12,10 +12,10 @@
 // comes again and again: it was forgotten half a minute after its last crash.
 func TestCrashingRequestIsNotForgottenWhileItComes(t *testing.T) {
 	is := is.New(t)
-	tab := NewTable(time.Hour).WithLimit(3).WithTrials(time.Hour, 7*24*time.Hour)
+	tab := NewTable(time.Hour).WithLimit(3).WithTrials(10*time.Minute, 7*24*time.Hour)
 	now := time.Unix(1000, 0)
 	ends := 0
-	for range 24 * 60 * 12 { // Every five seconds for a day.
+	for range 7 * 24 * 60 * 12 { // Every five seconds for a week.
 		if tab.Verdict(1, now) != Quarantined {
 			ends++
 			tab = tab.WithCrash([]uint64{1}, now.String(), now)
@@ -44,8 +44,8 @@
 		{"at the limit, one that was under way ran well", 3, time.Second, time.Minute, Quarantined, 59 * time.Minute},
 		{"trial", 3, 0, 61 * time.Minute, Suspect, 0},
 		{"trial that ran well", 3, 61 * time.Minute, 62 * time.Minute, Clear, 0},
-		{"trial that crashed", 4, 0, 3 * time.Hour, Quarantined, time.Hour},
-		{"second trial", 4, 0, 5 * time.Hour, Suspect, 0},
+		{"trial that crashed", 4, 0, 11 * time.Hour, Quarantined, time.Hour},
+		{"second trial", 4, 0, 13 * time.Hour, Suspect, 0},
 		{"forgotten", 4, 0, 49 * time.Hour, Clear, 0},
 	}
 	for _, tt := range tests {
