Let no heartbeat follow the end of a membership

Cause: a heartbeat under way while the process left was taken by the store behind the end of the membership, and began a new one: partitions were given to a process that holds nothing, until the store took it for dead after 1.5 s. TestLeavingIsNotUndoneByAHeartbeat failed and passes. Change: joining and leaving take turns.

--- a/internal/role/owner/fake_test.go
+++ b/internal/role/owner/fake_test.go
@@ -24,6 +24,8 @@
 	// down makes every call fail without effect; lose makes appends take effect and lose their answer.
 	down, lose bool
 	appends    int
+	// joinDelay is how long a call to join is on its way.
+	joinDelay time.Duration
 	// stall stops the reading of newest records after so many; zero for none. Resume is closed to go on.
 	stall  int
 	resume chan struct{}
@@ -128,6 +130,10 @@
 }
 
 func (f *fake) Join(_ context.Context, member string, _ int64, _ time.Duration) (store.Assignment, error) {
+	f.mu.Lock()
+	delay := f.joinDelay
+	f.mu.Unlock()
+	time.Sleep(delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
 	"galenaward.example/galenaward/internal/plat/group"
@@ -46,6 +47,9 @@
 	expelEvery = time.Second
 )
 
+// errLeaving means that the membership is being given up.
+var errLeaving = errors.New("leaving")
+
 // Backing is what an owner needs of the store.
 type Backing interface {
 	store.Log
@@ -78,6 +82,10 @@
 	// expelled is when a member's end was last told to the store.
 	expelled map[string]time.Time
 
+	// membership has room for one: a call that begins or ends the membership. A heartbeat that the store takes behind the
+	// end of the membership would begin a new one, of a process that holds nothing.
+	membership chan struct{}
+
 	looking singleflight.Group
 	poked   chan struct{}
 	pace    pace
@@ -104,6 +112,7 @@
 		ending: make(map[int]context.CancelFunc), members: make(map[int]string),
 		assigned: make(map[int]time.Time),
 		expelled: make(map[string]time.Time), poked: make(chan struct{}, 1),
+		membership: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -261,15 +270,10 @@
 
 // heartbeat keeps the membership and reports whether the group changed.
 func (o *Owner) heartbeat(ctx context.Context) (changed bool) {
-	o.mu.Lock()
-	generation, leaving := o.generation, o.leaving
-	o.mu.Unlock()
-	if leaving {
+	generation, a, err := o.join(ctx)
+	if errors.Is(err, errLeaving) {
 		return false
 	}
-	jctx, cancel := context.WithTimeout(ctx, max(joinTimeout, o.pace.timeout(o.missed)))
-	defer cancel()
-	a, err := o.backing.Join(jctx, o.member, generation, memberTTL)
 	if err != nil {
 		if o.missed++; o.missed == missedWarn && ctx.Err() == nil {
 			o.note("membership_unconfirmed", "generation", generation, "missed", o.missed, "cause", err)
@@ -289,6 +293,22 @@
 	return true
 }
 
+// join makes one heartbeat, and returns the generation that it named.
+func (o *Owner) join(ctx context.Context) (generation int64, a store.Assignment, err error) {
+	o.membership <- struct{}{}
+	defer func() { <-o.membership }()
+	o.mu.Lock()
+	generation, leaving := o.generation, o.leaving
+	o.mu.Unlock()
+	if leaving {
+		return generation, a, errLeaving
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(joinTimeout, o.pace.timeout(o.missed)))
+	defer cancel()
+	a, err = o.backing.Join(ctx, o.member, generation, memberTTL)
+	return generation, a, err
+}
+
 // keepOut ends the membership of a process that is cut off from the store, and reports whether it stays out. It follows
 // who holds the partitions through its peers.
 func (o *Owner) keepOut(ctx context.Context) bool {
@@ -320,10 +340,16 @@
 	clear(o.assigned)
 	o.mu.Unlock()
 	o.handOver(ctx, o.AllHeld())
+	o.leave(ctx)
+	o.look(ctx)
+}
+
+func (o *Owner) leave(ctx context.Context) {
+	o.membership <- struct{}{}
+	defer func() { <-o.membership }()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	if err := o.backing.Leave(ctx, o.member); err != nil {
 		o.note("leave_failed", "cause", err)
 	}
-	o.look(ctx)
 }
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -198,6 +198,27 @@
 }
 
 // TestExpelledMemberComesBack expels a living process; it joins again and appends under a higher epoch.
+// TestLeavingIsNotUndoneByAHeartbeat guards against rule LOST broken by partitions that are given to a process which has
+// left: a heartbeat that was under way reached the store behind the end of the membership and began a new one.
+func TestLeavingIsNotUndoneByAHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake(4)
+		a, b := begin(f, address), begin(f, "127.0.0.1:8")
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		f.joinDelay = 50 * time.Millisecond
+		f.mu.Unlock()
+		a.Poke()
+		time.Sleep(10 * time.Millisecond)
+		a.Leave(t.Context())
+		time.Sleep(time.Second)
+		is.Equal(len(b.AllHeld()), 4)
+		a.stop()
+		b.stop()
+	})
+}
+
 func TestExpelledMemberComesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
