--- a/internal/role/owner/fake_test.go
+++ b/internal/role/owner/fake_test.go
@@ -24,6 +24,8 @@
 	// down makes every call fail without effect; lose makes appends take effect and lose their answer.
 	down, lose bool
 	appends    int
+	// stuck makes calls to leave fail without effect.
+	stuck bool
 	// joinDelay is how long a call to join is on its way.
 	joinDelay time.Duration
 	// stall stops the reading of newest records after so many; zero for none. Resume is closed to go on.
@@ -31,6 +33,9 @@
 	resume chan struct{}
 }
 
+// repeats is how many of the last appends may be repeated; a repeat changes nothing and is answered as the first time.
+const repeats = 5
+
 type fakePart struct {
 	epoch, sequence int64
 	newest          map[string][]byte
@@ -67,13 +72,14 @@
 		return store.ErrFenced
 	case fe.Epoch > p.epoch:
 		p.epoch, p.sequence = fe.Epoch, fe.Sequence-1
+		if len(records) == 0 {
+			p.sequence = fe.Sequence
+		}
 	}
-	if len(records) > 0 && fe.Sequence > p.sequence+1 {
+	if len(records) > 0 && (fe.Sequence > p.sequence+1 || fe.Sequence <= p.sequence-repeats) {
 		return store.ErrSequence
 	}
-	if len(records) == 0 {
-		p.sequence = fe.Sequence
-	} else if fe.Sequence == p.sequence+1 {
+	if len(records) > 0 && fe.Sequence == p.sequence+1 {
 		p.sequence++
 		f.appends++
 		for _, r := range records {
@@ -149,6 +155,9 @@
 func (f *fake) Leave(_ context.Context, member string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.stuck {
+		return errors.Wrap(store.ErrRefused, "stuck")
+	}
 	if i := slices.Index(f.order, member); i >= 0 {
 		f.order = slices.Delete(f.order, i, i+1)
 		f.spread()
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -294,3 +294,42 @@
 		is.NoErr(p.Await(t.Context(), second.Ticket))
 	})
 }
+
+// TestReopenedPartitionKeepsItsTurns guards against rule LOST broken by a partition that is opened twice in one generation of
+// the group: its appends began again at the first number, and the store took them for repeats of earlier ones.
+func TestReopenedPartitionKeepsItsTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake(1)
+		var cut atomic.Bool
+		a := begin(f, address, WithCut(cut.Load))
+		time.Sleep(time.Second)
+		p, ok := a.Held(0)
+		is.True(ok)
+		is.NoErr(run(t.Context(), p, "t1", ""))
+
+		f.mu.Lock()
+		f.stuck = true
+		f.mu.Unlock()
+		cut.Store(true)
+		time.Sleep(time.Second)
+		is.Equal(len(a.AllHeld()), 0)
+		cut.Store(false)
+		time.Sleep(time.Second)
+		p, ok = a.Held(0)
+		is.True(ok)
+		is.NoErr(run(t.Context(), p, "t2", "t1"))
+		a.stop()
+		b := begin(f, "127.0.0.1:8")
+		defer b.stop()
+		f.mu.Lock()
+		f.stuck = false
+		f.mu.Unlock()
+		is.NoErr(f.Leave(t.Context(), a.member))
+		time.Sleep(time.Second)
+		p, ok = b.Held(0)
+		is.True(ok)
+		_, err := p.Chain(turns.Ref{Workspace: "w", ID: "t2"})
+		is.NoErr(err)
+	})
+}
