--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -65,7 +65,7 @@
 // later, or it refuses connections. Where this side ended the exchange, the upstream is not asked.
 func (g *Gate) suspect(ctx context.Context, j *job, u roster.Upstream) {
 	prints := j.fingerprints()
-	if g.suspects.unanswered(startOf(u), poison.Case{Fingerprints: prints, Request: j.call.ID, At: time.Now()}) {
+	if g.suspects.unanswered(u.Start(), poison.Case{Fingerprints: prints, Request: j.call.ID, At: time.Now()}) {
 		g.crashed(u, j.call.ID, prints)
 		return
 	}
@@ -98,14 +98,12 @@
 // blameEnds takes the ends of upstreams as proof against the requests that they did not answer.
 func (g *Gate) blameEnds() {
 	for _, u := range g.roster.Ended() {
-		for _, k := range g.suspects.ended(startOf(u), time.Now()) {
+		for _, k := range g.suspects.ended(u.Start(), time.Now()) {
 			g.crashed(u, k.Request, k.Fingerprints)
 		}
 	}
 }
 
-func startOf(u roster.Upstream) poison.Start { return poison.Start{Instance: u.Instance, Born: u.Born} }
-
 // crashed notes that an upstream died while it ran the request. All gateways learn it from the store.
 func (g *Gate) crashed(u roster.Upstream, request string, fingerprints []uint64) {
 	for _, f := range fingerprints {
--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenaward.example/galenaward/internal/sched/poison"
+	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/store"
 )
 
@@ -37,7 +38,7 @@
 type suspects struct {
 	mu    sync.Mutex
 	table poison.Table
-	cases *poison.Cases
+	cases *poison.Cases[roster.Start]
 	// unpublished holds the records that the store has not confirmed.
 	unpublished map[string]store.Record
 	// dropped counts records that found no room there since it was last logged.
@@ -51,20 +52,20 @@
 func newSuspects() *suspects {
 	return &suspects{
 		table:       poison.NewTable(suspicionLife).WithLimit(crashLimit).WithTrials(trialAfter, convictionLife).WithMost(mostSuspects),
-		cases:       poison.NewCases(caseWindow, mostCases),
+		cases:       poison.NewCases[roster.Start](caseWindow, mostCases),
 		unpublished: make(map[string]store.Record), wake: make(chan struct{}, 1),
 	}
 }
 
 // unanswered takes a request that got no whole answer, and reports whether its upstream is known to have ended.
-func (s *suspects) unanswered(st poison.Start, c poison.Case) (proved bool) {
+func (s *suspects) unanswered(st roster.Start, c poison.Case) (proved bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.cases.Add(st, c)
 }
 
 // ended takes the end of an upstream and returns the requests that it left without an answer.
-func (s *suspects) ended(st poison.Start, now time.Time) []poison.Case {
+func (s *suspects) ended(st roster.Start, now time.Time) []poison.Case {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.cases.Ended(st, now)
--- a/internal/sched/poison/cases.go
+++ b/internal/sched/poison/cases.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// Start names one start of an upstream.
-type Start struct {
-	Instance string
-	Born     int64
-}
-
 // Case is a request whose upstream gave it no whole answer, for whatever reason.
 type Case struct {
 	// Fingerprints are those under which the request may come again.
@@ -22,29 +16,29 @@
 
 // Cases matches requests without an answer with upstreams that end at about that time. Who sees a connection break, or
 // nothing at all, learns only later from others that the upstream died. It is not safe for concurrent use; the zero
-// value is not ready for use.
-type Cases struct {
+// value is not ready for use. S names one start of an upstream.
+type Cases[S comparable] struct {
 	// window is how long before or after the end of its upstream a case may lie.
 	window time.Duration
 	// most bounds the open cases; the oldest yield.
 	most int
 	// open holds the cases in the order in which they came.
-	open  []openCase
-	ended map[Start]time.Time
+	open  []openCase[S]
+	ended map[S]time.Time
 }
 
-type openCase struct {
+type openCase[S comparable] struct {
 	Case
-	start Start
+	start S
 }
 
 // NewCases returns an empty collection.
-func NewCases(window time.Duration, most int) *Cases {
-	return &Cases{window: window, most: most, ended: make(map[Start]time.Time)}
+func NewCases[S comparable](window time.Duration, most int) *Cases[S] {
+	return &Cases[S]{window: window, most: most, ended: make(map[S]time.Time)}
 }
 
 // Add takes a case, and reports whether its upstream is known to have ended.
-func (c *Cases) Add(s Start, k Case) (proved bool) {
+func (c *Cases[S]) Add(s S, k Case) (proved bool) {
 	c.expire(k.At)
 	if _, ok := c.ended[s]; ok {
 		return true
@@ -52,16 +46,16 @@
 	if len(c.open) >= c.most {
 		c.open = slices.Delete(c.open, 0, 1)
 	}
-	c.open = append(c.open, openCase{k, s})
+	c.open = append(c.open, openCase[S]{k, s})
 	return false
 }
 
 // Ended takes the end of an upstream and returns the cases that it proves.
-func (c *Cases) Ended(s Start, now time.Time) []Case {
+func (c *Cases[S]) Ended(s S, now time.Time) []Case {
 	c.expire(now)
 	c.ended[s] = now
 	var out []Case
-	c.open = slices.DeleteFunc(c.open, func(o openCase) bool {
+	c.open = slices.DeleteFunc(c.open, func(o openCase[S]) bool {
 		if o.start == s {
 			out = append(out, o.Case)
 		}
@@ -71,7 +65,7 @@
 }
 
 // expire drops what is too old to match anything.
-func (c *Cases) expire(now time.Time) {
+func (c *Cases[S]) expire(now time.Time) {
 	n := 0
 	for n < len(c.open) && now.Sub(c.open[n].At) > c.window {
 		n++
--- a/internal/sched/poison/cases_test.go
+++ b/internal/sched/poison/cases_test.go
@@ -7,14 +7,20 @@
 	"github.com/matryer/is"
 )
 
+// start is a start of an upstream.
+type start struct {
+	instance string
+	born     int64
+}
+
 func TestCases(t *testing.T) {
 	const window = 6 * time.Second
-	a, b, again := Start{"a", 1}, Start{"b", 1}, Start{"a", 2}
+	a, b, again := start{"a", 1}, start{"b", 1}, start{"a", 2}
 	tests := []struct {
 		name string
 		// start is where the request ran, ended which upstream ends, after so long; before says that it ended before the
 		// request did.
-		start, ended Start
+		start, ended start
 		after        time.Duration
 		before       bool
 		proved       bool
@@ -29,7 +35,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			c, now := NewCases(window, 10), time.Unix(1000, 0)
+			c, now := NewCases[start](window, 10), time.Unix(1000, 0)
 			k := Case{Fingerprints: []uint64{7}, Request: "r", At: now}
 			if tt.before {
 				is.Equal(len(c.Ended(tt.ended, now.Add(-tt.after))), 0)
@@ -46,11 +52,11 @@
 
 func TestCasesAreBounded(t *testing.T) {
 	is := is.New(t)
-	c, now := NewCases(time.Minute, 3), time.Unix(1000, 0)
+	c, now := NewCases[start](time.Minute, 3), time.Unix(1000, 0)
 	for i := range 10 {
-		c.Add(Start{"a", 1}, Case{Fingerprints: []uint64{uint64(i)}, At: now})
+		c.Add(start{"a", 1}, Case{Fingerprints: []uint64{uint64(i)}, At: now})
 	}
-	got := c.Ended(Start{"a", 1}, now)
+	got := c.Ended(start{"a", 1}, now)
 	is.Equal(len(got), 3)
 	is.Equal(got[0].Fingerprints, []uint64{7}) // The oldest yield.
 }
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -109,19 +109,22 @@
 	settled time.Time
 	// leaving holds the upstreams that said themselves that they leave, and when. It outlasts their announcements, which
 	// may be older.
-	leaving map[start]time.Time
+	leaving map[Start]time.Time
 	// ended holds the upstreams that ended without a word since Ended was last called.
 	ended []Upstream
 }
 
-// start is one start of an upstream.
-type start struct {
-	instance string
-	born     int64
+// Start names one start of an upstream.
+type Start struct {
+	Instance string
+	Born     int64
 }
 
+// Start returns the start that the announcement is of.
+func (u Upstream) Start() Start { return Start{u.Instance, u.Born} }
+
 // New returns an empty table.
-func New() *Table { return &Table{m: make(map[string]*state), leaving: make(map[start]time.Time)} }
+func New() *Table { return &Table{m: make(map[string]*state), leaving: make(map[Start]time.Time)} }
 
 // Leaving takes an upstream's own word that it leaves, which holds until it ends. It reports whether that is new.
 func (t *Table) Leaving(instance string, now time.Time) bool {
@@ -131,7 +134,7 @@
 	if !ok {
 		return false
 	}
-	key := start{instance, s.Born}
+	key := s.Start()
 	_, known := t.leaving[key]
 	t.leaving[key] = now
 	s.Draining = true
@@ -175,7 +178,7 @@
 		s = &state{}
 		t.m[u.Instance] = s
 	}
-	_, leaving := t.leaving[start{u.Instance, u.Born}]
+	_, leaving := t.leaving[u.Start()]
 	u.Draining = u.Draining || leaving
 	drains = u.Draining && !s.Draining
 	s.Upstream = u
@@ -227,7 +230,7 @@
 	if now.Before(t.settled) {
 		return
 	}
-	maps.DeleteFunc(t.leaving, func(_ start, at time.Time) bool { return now.Sub(at) > leavingLife })
+	maps.DeleteFunc(t.leaving, func(_ Start, at time.Time) bool { return now.Sub(at) > leavingLife })
 	maps.DeleteFunc(t.m, func(_ string, s *state) bool {
 		if !s.missing.IsZero() {
 			t.end(s)
