An epoch of its own for each opening of a partition; peers hear of repeated crashes at once

Ruled out: a new member name for each return (covers the withdrawal, not a partition dropped after an append out of sequence); continuing the numbers (the number that the store expects is not known after a lost answer). Change: epoch = generation x 2^20 + number of the opening in it.

From the second crash of one request on a gateway now tells its peers at once of all that it knows. Ruled out: asking all peers before each send of a suspect (84 calls for each request that an upstream's end broke off). Not done: an innocent request that met three crashing upstreams still waits ten minutes for its next try.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -24,6 +24,9 @@
 	// crashProbeTimeout bounds the probe.
 	crashProbeDelay   = 50 * time.Millisecond
 	crashProbeTimeout = 300 * time.Millisecond
+	// notifyCrashes is the number of crashes of one request from which peers are notified directly. The feed of the
+	// store is read with pauses, in which the request could be sent to them again.
+	notifyCrashes = 2
 )
 
 // fingerprints identifies a request across attempts, which have IDs of their own. The first fingerprint covers the
@@ -118,9 +121,24 @@
 		}
 		g.logEvent("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
 			"fingerprint", hex(f), "crashes", known)
+		if known >= notifyCrashes {
+			g.notifyCrashesAsync(f)
+		}
 	}
 }
 
+// notifyCrashesAsync tells peers in the background of all known crashes of a request that has crashed several
+// upstreams.
+func (g *Gateway) notifyCrashesAsync(fingerprint uint64) {
+	records := g.suspects.crashRecords(fingerprint, time.Now())
+	g.group.Go(func(ctx context.Context) error {
+		if err := notifyPeers(ctx, g, crashPath, crashNotice{records}); err != nil {
+			g.logEvent("crash_not_told", "fingerprint", hex(fingerprint), "records", len(records), "cause", err)
+		}
+		return nil
+	})
+}
+
 // clearCrashes removes the crashes recorded for a request that was answered in full. Responses with a status of 500 or
 // above don't count, since the upstream may not have run the request.
 func (g *Gateway) clearCrashes(j *job, u roster.Upstream, status int) {
--- a/internal/role/gate/crashrecord.go
+++ b/internal/role/gate/crashrecord.go
@@ -58,7 +58,7 @@
 	return c, false, nil
 }
 
-// crashNotice sends crash records to a peer while the store is unavailable.
+// crashNotice sends crash records to a peer before it reads them from the store.
 type crashNotice struct {
 	Records []store.Record `json:"records"`
 }
--- a/internal/role/gate/suspects.go
+++ b/internal/role/gate/suspects.go
@@ -144,6 +144,17 @@
 	return s.table.Verdict(fingerprint, now), s.table.TrialIn(fingerprint, now)
 }
 
+// crashRecords returns the records of all known crashes of a request, dated now.
+func (s *crashSuspects) crashRecords(fingerprint uint64, now time.Time) []store.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.Record
+	for _, id := range s.table.CrashIDs(fingerprint, now) {
+		out = append(out, crashRecord(crash.Event{Fingerprint: fingerprint, ID: id, At: now}))
+	}
+	return out
+}
+
 // recordAnswer clears the crashes of a suspect request that was answered in full, and returns how many were known.
 func (s *crashSuspects) recordAnswer(fingerprint uint64, now time.Time) int {
 	s.mu.Lock()
--- a/internal/role/gate/suspects_test.go
+++ b/internal/role/gate/suspects_test.go
@@ -141,3 +141,24 @@
 	_, dropped = s.pending()
 	is.Equal(dropped, 0)
 }
+
+// TestNoticeCarriesAllCrashesOfARequest guards against one crash too many at a gateway that reads the feed of the store
+// late: what a peer sends it directly must suffice to quarantine the request.
+func TestNoticeCarriesAllCrashesOfARequest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s, peer := newCrashSuspects(), newCrashSuspects()
+	for i := range maxCrashes {
+		s.addLocal(crashAt(byte(i+1), now))
+	}
+	var heard []crash.Event
+	for _, r := range s.crashRecords(7, now) {
+		c, gone, err := parseCrash(r)
+		is.NoErr(err)
+		is.True(!gone)
+		heard = append(heard, c)
+	}
+	is.Equal(len(peer.addRemote(heard, now)), maxCrashes)
+	v, _ := peer.verdict(7, now)
+	is.Equal(v, crash.Quarantined)
+}
--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -85,11 +85,25 @@
 	}
 }
 
+// openingsPerGeneration is the number of epochs that each generation of the group has for a partition.
+const openingsPerGeneration = 1 << 20
+
+// nextEpoch returns the epoch for an opening of the partition under the generation. It is higher than the epochs of all
+// openings under earlier generations and of this process's earlier ones under the same generation. Within a generation
+// the store assigns a partition to one member only, and a member's name is not used by a second process, so no other
+// opening has the epoch. An opening that reused an epoch would number its appends from the first again, and the store
+// would take them for repeats and drop their records. The caller holds the lock.
+func (o *Owner) nextEpoch(id int, generation int64) int64 {
+	o.epochs[id] = max(o.epochs[id]+1, generation*openingsPerGeneration)
+	return o.epochs[id]
+}
+
 // openPartition fences and loads a partition in the background and appends to it until it is lost.
-func (o *Owner) openPartition(id int, epoch int64) {
+func (o *Owner) openPartition(id int, generation int64) {
 	ctx, cancel := context.WithCancel(o.group.Context())
 	o.mu.Lock()
 	o.cancels[id] = cancel
+	epoch := o.nextEpoch(id, generation)
 	o.mu.Unlock()
 	o.group.Go(func(context.Context) error {
 		defer cancel()
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -73,6 +73,8 @@
 	held       map[int]*Partition
 	// cancels stops the goroutines of each partition that is being opened or is held.
 	cancels map[int]context.CancelFunc
+	// epochs holds the epoch of the last opening of each partition by this process. An epoch is never used twice.
+	epochs map[int]int64
 	// assignedSince is when the store assigned each partition to this process, whether it is open yet or not.
 	assignedSince map[int]time.Time
 	// holders maps each partition to the member that holds it, as last reported by the store.
@@ -113,7 +115,7 @@
 		store: s, partitions: partitions, group: g,
 		member:   address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		logEvent: func(string, ...any) {}, isolated: func() bool { return false }, held: make(map[int]*Partition),
-		cancels: make(map[int]context.CancelFunc), holders: make(map[int]string),
+		cancels: make(map[int]context.CancelFunc), epochs: make(map[int]int64), holders: make(map[int]string),
 		assignedSince: make(map[int]time.Time),
 		expelledAt:    make(map[string]time.Time), heartbeatNow: make(chan struct{}, 1),
 		membershipSem: make(chan struct{}, 1),
