--- a/internal/role/gate/fallbackstore.go
+++ b/internal/role/gate/fallbackstore.go
@@ -19,8 +19,9 @@
 	directRetryInterval = 700 * time.Millisecond
 	// maxFallbackPeers bounds the peers that are tried for one call.
 	maxFallbackPeers = 2
-	// isolatedAfter is how many more direct calls in a row must fail after a peer reached the store before this process
-	// counts as isolated from it. When a store recovers, peers may reach it slightly earlier.
+	// isolatedAfter is how many direct calls in a row must begin after a peer reached the store, and fail, before this
+	// process counts as isolated from it. When a store recovers, peers may reach it slightly earlier, and calls that began
+	// during the outage fail later.
 	isolatedAfter = 2
 	// fallbackFollowWait bounds how long a Follow call waits for records while direct calls fail, since its answer is
 	// what shows that the store is reachable again.
@@ -41,10 +42,11 @@
 	mu             sync.Mutex
 	failures       int
 	lastDirectCall time.Time
-	// lastPeer is the peer that reached the store most recently. failuresAtPeerSuccess is the number of failures when
-	// the first peer in the current series of failures did.
-	lastPeer              string
-	failuresAtPeerSuccess int
+	// lastPeer is the peer that reached the store most recently. peerSuccessAt is when the first peer in the current
+	// series of failures did, failuresSince the number of direct calls that began later and failed.
+	lastPeer      string
+	peerSuccessAt time.Time
+	failuresSince int
 }
 
 func newFallbackStore(
@@ -150,9 +152,12 @@
 		if d.failing() {
 			q.WaitMS = min(q.WaitMS, fallbackFollowWait.Milliseconds())
 		}
+		began := time.Now()
 		a = callStore(ctx, d.Store, q)
 		err = a.err()
-		d.recordDirectCall(isDefinite(err))
+		if !errors.Is(ctx.Err(), context.Canceled) { // A cancelled call tells nothing about the store.
+			d.recordDirectCall(isDefinite(err), began)
+		}
 		if isDefinite(err) || ctx.Err() != nil {
 			return a, err
 		}
@@ -191,8 +196,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastPeer = address
-	if d.failuresAtPeerSuccess == 0 {
-		d.failuresAtPeerSuccess = d.failures
+	if d.peerSuccessAt.IsZero() && d.failures >= fallbackAfter {
+		d.peerSuccessAt, d.failuresSince = time.Now(), 0
+		d.lastDirectCall = time.Time{} // The store may have returned for this process too.
 	}
 }
 
@@ -200,7 +206,7 @@
 func (d *fallbackStore) Isolated() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.failuresAtPeerSuccess >= fallbackAfter && d.failures >= d.failuresAtPeerSuccess+isolatedAfter
+	return !d.peerSuccessAt.IsZero() && d.failuresSince >= isolatedAfter
 }
 
 // shouldTryDirect reports whether the call should first be made without peers.
@@ -220,8 +226,8 @@
 	return d.failures >= fallbackAfter
 }
 
-// recordDirectCall records the outcome of a direct call.
-func (d *fallbackStore) recordDirectCall(ok bool) {
+// recordDirectCall records the outcome of a direct call that began at the given time.
+func (d *fallbackStore) recordDirectCall(ok bool, began time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -231,10 +237,13 @@
 		d.logEvent("store_detour", "failures", d.failures+1)
 	}
 	if ok {
-		d.failures, d.failuresAtPeerSuccess = 0, 0
+		d.failures, d.failuresSince, d.peerSuccessAt = 0, 0, time.Time{}
 		return
 	}
 	d.failures++
+	if !d.peerSuccessAt.IsZero() && began.After(d.peerSuccessAt) {
+		d.failuresSince++
+	}
 }
 
 func (a storeResponse) err() error {
--- a/internal/role/gate/fallbackstore_test.go
+++ b/internal/role/gate/fallbackstore_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -114,3 +115,24 @@
 	}
 	is.True(d.Isolated())
 }
+
+// TestCallsBegunDuringAnOutageAreNotIsolation guards against processes that give up their partitions when the store
+// returns, since calls that began during the outage still fail after a peer has reached the store.
+func TestCallsBegunDuringAnOutageAreNotIsolation(t *testing.T) {
+	is := is.New(t)
+	d := newFallbackStore(nil, nil, nil, func(string, ...any) {})
+	began := time.Now().Add(-time.Second)
+	for range 10 {
+		d.recordDirectCall(false, began)
+	}
+	d.recordPeerSuccess("peer")
+	for range 10 {
+		d.recordDirectCall(false, began)
+	}
+	is.True(!d.Isolated())
+	is.True(d.shouldTryDirect()) // The store may have returned for this process too.
+	for range isolatedAfter {
+		d.recordDirectCall(false, time.Now().Add(time.Millisecond))
+	}
+	is.True(d.Isolated())
+}
--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -23,8 +23,8 @@
 // fence raises the partition's epoch in the store so that appends by previous holders fail.
 func (p *Partition) fence(ctx context.Context) error {
 	var err error
-	for attempt := range fenceAttempts {
-		if err = p.appendOnce(ctx, nil, attempt); err == nil || errors.Is(err, store.ErrFenced) || ctx.Err() != nil {
+	for range fenceAttempts {
+		if err = p.attemptAppend(ctx, nil); err == nil || errors.Is(err, store.ErrFenced) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -79,15 +79,15 @@
 	p.sequence++
 	began := time.Now()
 	warned := false
-	for attempt := 0; ; attempt++ {
-		err := p.appendOnce(ctx, recs, attempt)
+	for {
+		err := p.attemptAppend(ctx, recs)
 		if err == nil {
 			if warned {
 				p.logEvent("store_regained", "partition", p.id, "after_ms", time.Since(began).Milliseconds())
 			}
 			return nil
 		}
-		if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || ctx.Err() != nil {
+		if isFinalAppend(err) || ctx.Err() != nil {
 			return err
 		}
 		if !warned && time.Since(began) > unavailableAfter {
@@ -102,10 +102,23 @@
 	}
 }
 
-// appendOnce makes one attempt of an append. The number of the attempt, from 0, determines its timeout.
-func (p *Partition) appendOnce(ctx context.Context, recs []store.Record, attempt int) error {
-	ctx, cancel := context.WithTimeout(ctx, p.timeouts.timeout(attempt))
-	defer cancel()
+// attemptAppend appends the records with overlapping attempts until one of them is final or all have failed.
+func (p *Partition) attemptAppend(ctx context.Context, recs []store.Record) error {
+	_, err := overlapping[struct{}]{
+		interval: p.timeouts.timeout(), limit: maxOverlappingAppends, returned: p.timeouts.storeReturned(),
+		attempt: func(ctx context.Context) (struct{}, error) { return struct{}{}, p.appendOnce(ctx, recs) },
+		final:   isFinalAppend,
+	}.call(ctx)
+	return err
+}
+
+// isFinalAppend reports whether the result of an append comes from the store and a repeat would not change it.
+func isFinalAppend(err error) bool {
+	return err == nil || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence)
+}
+
+// appendOnce makes one attempt of an append.
+func (p *Partition) appendOnce(ctx context.Context, recs []store.Record) error {
 	began := time.Now()
 	err := p.log.Append(ctx, p.id, store.Fence{Epoch: p.epoch, Sequence: p.sequence}, recs)
 	if err == nil {
--- a/internal/role/owner/epoch_test.go
+++ b/internal/role/owner/epoch_test.go
@@ -114,8 +114,8 @@
 	key := fmt.Sprint("t/", m.appends)
 	o.open.sequence++
 	refused := true
-	for attempt := range 3 {
-		err := o.open.appendOnce(m.t.Context(), []store.Record{{Key: key, Value: []byte{1}}}, attempt)
+	for range 3 {
+		err := o.open.appendOnce(m.t.Context(), []store.Record{{Key: key, Value: []byte{1}}})
 		if err == nil {
 			m.confirmed = append(m.confirmed, key)
 			return
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -23,16 +23,19 @@
 const (
 	// heartbeatInterval is the time between two heartbeats that renew the group membership.
 	heartbeatInterval = 300 * time.Millisecond
-	// callTimeout is the minimum timeout of a heartbeat and the timeout of all other group calls.
+	// callTimeout is the timeout of group calls other than heartbeats.
 	callTimeout = 350 * time.Millisecond
 	// missedHeartbeatsWarn is the number of consecutive unanswered heartbeats after which a warning is logged.
 	missedHeartbeatsWarn = 3
 	// memberTTL is the time without a heartbeat after which the store reassigns a member's partitions. It covers three
 	// heartbeats and one that timed out.
 	memberTTL = 1500 * time.Millisecond
-	// rebalanceInterval is the time between two heartbeats while partitions are being reassigned. The store's limit on
-	// calls per second counts a heartbeat as a tenth of a call.
+	// rebalanceInterval is the time between two heartbeats while partitions are being reassigned, and after one that the
+	// store did not answer. The store's limit on calls per second counts a heartbeat as a tenth of a call.
 	rebalanceInterval = 40 * time.Millisecond
+	// settleTime is how long assignments are not applied after this membership lapsed. It covers the time in which all
+	// members notice that the store has returned.
+	settleTime = 250 * time.Millisecond
 	// rebalanceHeartbeats is the number of heartbeats sent at rebalanceInterval after a change of the group.
 	rebalanceHeartbeats = 8
 	// handoverTimeout bounds the wait for running turns and unconfirmed appends before a partition is released. Turns
@@ -95,8 +98,10 @@
 	// heartbeatNow makes Run send a heartbeat at once.
 	heartbeatNow chan struct{}
 	timeouts     adaptiveTimeout
-	// missedHeartbeats counts consecutive unanswered heartbeats. Only the loop in Run uses it.
-	missedHeartbeats int
+	// missedHeartbeats counts consecutive unanswered heartbeats, heartbeatAt is when the store answered the last one, and
+	// until settleUntil assignments are not applied. Only the loop in Run uses them.
+	missedHeartbeats         int
+	heartbeatAt, settleUntil time.Time
 }
 
 // Option configures an Owner.
@@ -221,7 +226,10 @@
 			quickHeartbeats = rebalanceHeartbeats
 		}
 		pause := heartbeatInterval
-		if quickHeartbeats > 0 {
+		switch {
+		case o.missedHeartbeats > 0:
+			pause = rebalanceInterval
+		case quickHeartbeats > 0:
 			quickHeartbeats--
 			pause = rebalanceInterval
 		}
@@ -286,10 +294,17 @@
 		}
 		return false
 	}
+	if o.missedHeartbeats > 0 {
+		o.timeouts.markReturned()
+	}
 	if o.missedHeartbeats >= missedHeartbeatsWarn {
 		o.logEvent("membership_confirmed", "generation", a.Generation, "missed", o.missedHeartbeats)
 	}
 	o.missedHeartbeats = 0
+	if o.settling(time.Now()) {
+		o.logEvent("settling", "generation", a.Generation, "partitions", len(a.Partitions))
+		return true
+	}
 	o.assign(ctx, a)
 	if a.Generation == generation {
 		return false
@@ -299,6 +314,18 @@
 	return true
 }
 
+// settling reports whether the store answers heartbeats again after this membership lapsed, at most settleTime ago.
+// Other members have probably lapsed too and return one after another, and each return reassigns partitions. Until they
+// have settled, holders keep their partitions, so that what they have queued is appended before the next holder fences
+// them.
+func (o *Owner) settling(now time.Time) bool {
+	if lapsed := !o.heartbeatAt.IsZero() && now.Sub(o.heartbeatAt) > memberTTL; lapsed {
+		o.settleUntil = now.Add(settleTime)
+	}
+	o.heartbeatAt = now
+	return now.Before(o.settleUntil)
+}
+
 // join sends one heartbeat and returns the generation that it acknowledged.
 func (o *Owner) join(ctx context.Context) (generation int64, a store.Assignment, err error) {
 	o.membershipSem <- struct{}{}
@@ -309,9 +336,13 @@
 	if leaving {
 		return generation, a, errLeaving
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(callTimeout, o.timeouts.timeout(o.missedHeartbeats)))
-	defer cancel()
-	a, err = o.store.Join(ctx, o.member, generation, memberTTL)
+	a, err = overlapping[store.Assignment]{
+		interval: o.timeouts.timeout(), limit: maxOverlappingJoins,
+		attempt: func(ctx context.Context) (store.Assignment, error) {
+			return o.store.Join(ctx, o.member, generation, memberTTL)
+		},
+		final: func(err error) bool { return err == nil },
+	}.call(ctx)
 	return generation, a, err
 }
 
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -24,9 +24,13 @@
 }
 
 func startOwner(f *fakeStore, address string, opts ...Option) *runningOwner {
+	return startOwnerOf(f, f.partitionCount, address, opts...)
+}
+
+func startOwnerOf(s Store, partitions int, address string, opts ...Option) *runningOwner {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := group.New(ctx)
-	o := New(g, f, f.partitionCount, address, opts...)
+	o := New(g, s, partitions, address, opts...)
 	g.Go(o.Run)
 	return &runningOwner{Owner: o, stop: func() {
 		cancel()
