--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -136,17 +136,17 @@
 		return f
 	}
 	var err error
-	t.reservation, err = t.partition.Begin(q.claim(), previous, time.Now())
+	t.reservation, err = t.reserve(previous)
 	if errors.Is(err, owner.ErrLoading) {
 		if err = t.awaitChain(ctx, previous); err == nil {
-			t.reservation, err = t.partition.Begin(q.claim(), previous, time.Now())
+			t.reservation, err = t.reserve(previous)
 		}
 	}
 	if errors.Is(err, turns.ErrUnknownTurn) {
 		if f := g.importChain(ctx, t.partition, previous); f != nil {
 			return f
 		}
-		t.reservation, err = t.partition.Begin(q.claim(), previous, time.Now())
+		t.reservation, err = t.reserve(previous)
 	}
 	switch {
 	case err == nil:
@@ -162,6 +162,11 @@
 	return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(shortRetry)
 }
 
+// reserve begins the turn at its partition. Its patience is the time that the caller has left.
+func (t *turnExecution) reserve(previous turns.Ref) (owner.AdmittedTurn, error) {
+	return t.partition.Begin(t.claim(), previous, time.Duration(t.LeftMS)*time.Millisecond, time.Now())
+}
+
 // awaitChain waits while the partition is being read after a change of owner.
 func (t *turnExecution) awaitChain(ctx context.Context, previous turns.Ref) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -10,7 +10,9 @@
 	// drainTime is how long a stopping gateway keeps accepting requests. The load balancer probes once a second and
 	// removes a process after two failed probes.
 	drainTime = 2300 * time.Millisecond
-	stopStep  = 20 * time.Millisecond
+	// leaveReserve is the time before the end of a graceful stop that is kept for handing over partitions, also if the
+	// store does not confirm appends.
+	leaveReserve = 1500 * time.Millisecond
 )
 
 // stopping records whether a graceful stop has begun. The zero value is ready for use.
@@ -22,16 +24,28 @@
 func (g *Gateway) Stopping() bool { return g.stop.begun() }
 
 // Stop hands over the partitions and returns when the load balancer has taken the process out or ctx ends. Requests are
-// served until then.
+// served until then. While the store confirms no appends, the partitions stay here as long as the stop may last.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.stop.on.Store(true)
 	g.ready.Set(false)
 	g.logEvent("stopping")
 	began := time.Now()
-	g.owner.Leave(ctx)
+	g.leave(ctx)
 	g.pokePeers(ctx)
 	select {
 	case <-time.After(drainTime - time.Since(began)):
 	case <-ctx.Done():
 	}
 }
+
+// leave hands over the partitions, leaving leaveReserve of the stop.
+func (g *Gateway) leave(ctx context.Context) {
+	began := time.Now()
+	if end, bounded := ctx.Deadline(); bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-leaveReserve))
+		defer cancel()
+	}
+	g.owner.Leave(ctx)
+	g.logEvent("left", "ms", time.Since(began).Milliseconds())
+}
--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -12,7 +12,7 @@
 )
 
 // assign applies an assignment: it opens the new partitions and hands over those that were reassigned.
-func (o *Owner) assign(ctx context.Context, a store.Assignment) {
+func (o *Owner) assign(a store.Assignment) {
 	o.mu.Lock()
 	if o.leaving {
 		o.mu.Unlock()
@@ -45,15 +45,22 @@
 		}
 	}
 	o.mu.Unlock()
-	o.handOver(ctx, lost)
+	o.handOver(lost)
 	for _, id := range gained {
 		o.openPartition(id, a.Generation)
 	}
 }
 
-// handOver waits up to handoverTimeout for the partitions to drain, then releases them.
-func (o *Owner) handOver(ctx context.Context, ps []*Partition) {
-	for deadline := time.Now().Add(handoverTimeout); len(ps) > 0 && time.Now().Before(deadline) && ctx.Err() == nil; {
+// handOver drains the partitions, then releases them.
+func (o *Owner) handOver(ps []*Partition) {
+	o.drain(ps)
+	o.release(ps)
+}
+
+// drain stops admitting turns to the partitions, and waits up to handoverTimeout for running ones and for unconfirmed
+// appends.
+func (o *Owner) drain(ps []*Partition) {
+	for deadline := time.Now().Add(handoverTimeout); len(ps) > 0 && time.Now().Before(deadline); {
 		draining := 0
 		for _, p := range ps {
 			if !p.close() {
@@ -61,10 +68,14 @@
 			}
 		}
 		if draining == 0 {
-			break
+			return
 		}
 		time.Sleep(handoverPollInterval)
 	}
+}
+
+// release gives the partitions up.
+func (o *Owner) release(ps []*Partition) {
 	for _, p := range ps {
 		o.drop(p, errors.Wrapf(ErrMoved, "partition %d", p.id))
 	}
--- a/internal/role/owner/load_test.go
+++ b/internal/role/owner/load_test.go
@@ -47,7 +47,7 @@
 		defer stop()
 		is.NoErr(runTurn(t.Context(), p, "new", ""))
 		is.NoErr(runTurn(t.Context(), p, "next", "short"))
-		_, err := p.Begin(claimOf("p"), turns.Ref{Workspace: "w", ID: "t3"}, time.Now())
+		_, err := p.Begin(claimOf("p"), turns.Ref{Workspace: "w", ID: "t3"}, 0, time.Now())
 		is.True(errors.Is(err, ErrLoading)) // Only part of the chain is loaded.
 		resume()
 		is.NoErr(p.AwaitChain(t.Context(), turns.Ref{Workspace: "w", ID: "t3"}))
@@ -84,7 +84,7 @@
 		// The five turns spent 50 tokens each, and the 100 that were reserved ahead for the next one count as spent.
 		admitted := 0
 		for range 10 {
-			if _, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now()); err == nil {
+			if _, err := p.Begin(claimOf("p"), turns.Ref{}, 0, time.Now()); err == nil {
 				admitted++
 			}
 		}
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -47,6 +47,8 @@
 	// minRefreshInterval is the minimum time between two reads of the partition holders outside the heartbeat.
 	minRefreshInterval = 100 * time.Millisecond
 	expireInterval     = 2 * time.Second
+	// leaveRetryInterval is the time between two attempts to end the membership of a process that stops.
+	leaveRetryInterval = 100 * time.Millisecond
 	// minExpelInterval is the minimum time between two attempts to expel the same member.
 	minExpelInterval = time.Second
 )
@@ -305,7 +307,7 @@
 		o.logEvent("settling", "generation", a.Generation, "partitions", len(a.Partitions))
 		return true
 	}
-	o.assign(ctx, a)
+	o.assign(a)
 	if a.Generation == generation {
 		return false
 	}
@@ -353,7 +355,7 @@
 	switch {
 	case isolated && !o.withdrawn:
 		o.logEvent("withdrawn", "member", o.member)
-		o.release(ctx)
+		o.withdraw(ctx)
 	case !isolated && o.withdrawn:
 		o.logEvent("returned", "member", o.member)
 	case isolated:
@@ -363,30 +365,69 @@
 	return isolated
 }
 
-// Leave hands over all partitions and ends the membership for good.
+// AwaitStore waits while the store does not confirm the appends of a partition that this process holds, until ctx ends.
+// No other process can take such a partition over, so leaving then would only interrupt its turns.
+func (o *Owner) AwaitStore(ctx context.Context) {
+	poll := time.NewTicker(handoverPollInterval)
+	defer poll.Stop()
+	for slices.ContainsFunc(o.HeldPartitions(), func(p *Partition) bool { return p.stalled(time.Now()) }) {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave hands over all partitions and ends the membership for good. While the store confirms no appends or does not end
+// the membership, it keeps the partitions, until ctx ends.
 func (o *Owner) Leave(ctx context.Context) {
 	o.mu.Lock()
 	o.leaving = true
 	o.mu.Unlock()
-	o.release(ctx)
+	for {
+		o.AwaitStore(ctx)
+		held := o.HeldPartitions()
+		o.drain(held)
+		if o.leave() || ctx.Err() != nil {
+			break
+		}
+		for _, p := range held {
+			p.reopen()
+		}
+		select {
+		case <-time.After(leaveRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+	o.dropAll(ctx)
 }
 
-// release hands over all partitions and ends the membership.
-func (o *Owner) release(ctx context.Context) {
+// withdraw gives up all partitions and ends the membership until Run joins the group again.
+func (o *Owner) withdraw(ctx context.Context) {
+	o.drain(o.HeldPartitions())
+	o.leave()
+	o.dropAll(ctx)
+}
+
+// dropAll releases all partitions after the end of the membership.
+func (o *Owner) dropAll(ctx context.Context) {
 	o.mu.Lock()
 	clear(o.assignedSince)
 	o.mu.Unlock()
-	o.handOver(ctx, o.HeldPartitions())
-	o.leave(ctx)
+	o.release(o.HeldPartitions())
 	o.readOwners(ctx)
 }
 
-func (o *Owner) leave(ctx context.Context) {
+// leave ends the membership and reports whether the store confirmed that.
+func (o *Owner) leave() bool {
 	o.membershipSem <- struct{}{}
 	defer func() { <-o.membershipSem }()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(o.group.Context(), callTimeout)
 	defer cancel()
-	if err := o.store.Leave(ctx, o.member); err != nil {
+	err := o.store.Leave(ctx, o.member)
+	if err != nil {
 		o.logEvent("leave_failed", "cause", err)
 	}
+	return err == nil
 }
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -63,7 +63,7 @@
 func beginCovered(t *testing.T, p *Partition) AdmittedTurn {
 	t.Helper()
 	is := is.New(t)
-	b, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
+	b, err := p.Begin(claimOf("p"), turns.Ref{}, 0, time.Now())
 	is.NoErr(err)
 	is.NoErr(p.Await(t.Context(), b.Ticket))
 	return b
@@ -71,7 +71,7 @@
 
 // runTurn begins and finishes a turn and waits until it is durable.
 func runTurn(ctx context.Context, p *Partition, id, previous string) error {
-	b, err := p.Begin(claimOf("p"), turns.Ref{Workspace: "w", ID: previous}, time.Now())
+	b, err := p.Begin(claimOf("p"), turns.Ref{Workspace: "w", ID: previous}, 0, time.Now())
 	if err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 		is := is.New(t)
 		f := newFakeStore(1)
 		a, old := startHolder(t, f)
-		begun, err := old.Begin(claimOf("p"), turns.Ref{}, time.Now())
+		begun, err := old.Begin(claimOf("p"), turns.Ref{}, 0, time.Now())
 		is.NoErr(err)
 
 		b := New(a.group, f, 1, "127.0.0.1:8")
@@ -147,7 +147,7 @@
 		short, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
 		is.True(errors.Is(p.Await(short, ticket), context.DeadlineExceeded))
-		_, err = p.Begin(claimOf("q"), turns.Ref{}, time.Now())
+		_, err = p.Begin(claimOf("q"), turns.Ref{}, 0, time.Now())
 		is.True(errors.Is(err, ErrStoreUnavailable))
 
 		f.setFaults(false, false)
@@ -294,7 +294,7 @@
 		f.setFaults(true, false)
 		_, err := p.Finish(first, turnOf("a", ""), 50, time.Now())
 		is.NoErr(err)
-		second, err := p.Begin(claimOf("p"), turns.Ref{}, time.Now())
+		second, err := p.Begin(claimOf("p"), turns.Ref{}, 0, time.Now())
 		is.NoErr(err)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -22,6 +22,9 @@
 // The store usually answers within a few milliseconds, and within a quarter of a second when it is slow.
 const unavailableAfter = 700 * time.Millisecond
 
+// stalledAfter is how long an append may stay unconfirmed before a process that stops waits for the store.
+const stalledAfter = 100 * time.Millisecond
+
 // Partition is a partition that this process holds. Records are queued in batches; appends to the store run one at a
 // time and in order, and each sends one or more batches. It is safe for concurrent use.
 type Partition struct {
@@ -46,7 +49,8 @@
 	queued chan struct{}
 	// lostCause is set once the partition is no longer held; it is never cleared.
 	lostCause error
-	// closing makes Begin and ImportTurns fail while the partition is being handed over.
+	// closing makes Begin and ImportTurns fail while the partition is being handed over. It is cleared if the store does
+	// not end the membership.
 	closing     bool
 	activeTurns int
 	// accountsLoaded is set once all accounts are loaded, historyLoaded once all turns are as well. Neither is ever
@@ -80,14 +84,17 @@
 }
 
 // Begin admits a turn that continues the turn previous, whose ID is empty at the start of a chain. The caller must call
-// Abort or Finish afterwards.
-func (p *Partition) Begin(c turns.Claim, previous turns.Ref, now time.Time) (AdmittedTurn, error) {
+// Abort or Finish afterwards. While the store is unavailable, a turn that needs it waits for its return if patience is
+// longer than the outage has lasted so far: an outage that is d old is expected to last about as long again.
+func (p *Partition) Begin(
+	c turns.Claim, previous turns.Ref, patience time.Duration, now time.Time,
+) (AdmittedTurn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lostCause != nil || p.closing {
 		return AdmittedTurn{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	if p.storeUnavailable(now) && !p.runsWithoutStore(c) {
+	if p.storeUnavailable(now) && now.Sub(p.pendingSince) > patience && !p.runsWithoutStore(c) {
 		return AdmittedTurn{}, errors.Wrapf(ErrStoreUnavailable, "partition %d for %s",
 			p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
 	}
@@ -212,6 +219,13 @@
 	return p.submitted > p.confirmed && now.Sub(p.pendingSince) > unavailableAfter
 }
 
+// stalled reports whether an append has been unconfirmed for stalledAfter.
+func (p *Partition) stalled(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostCause == nil && p.submitted > p.confirmed && now.Sub(p.pendingSince) > stalledAfter
+}
+
 // Await waits until the batch with the ticket is confirmed. It returns ErrMoved if the partition is lost first.
 func (p *Partition) Await(ctx context.Context, ticket int64) error {
 	return p.waitFor(ctx, func() bool { return p.confirmed >= ticket })
@@ -271,6 +285,13 @@
 	return p.lostCause != nil || (p.activeTurns == 0 && p.submitted == p.confirmed)
 }
 
+// reopen admits turns again after close.
+func (p *Partition) reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = false
+}
+
 // expire removes turns and accounts whose retention has ended, and tickets that are confirmed.
 func (p *Partition) expire(now time.Time) {
 	p.mu.Lock()
--- a/internal/role/owner/settle_test.go
+++ b/internal/role/owner/settle_test.go
@@ -98,3 +98,39 @@
 		}
 	})
 }
+
+// TestOutageWithProgramsUnderWay covers turns that arrive while the store is away. It guards against refusing those that
+// its return would still serve, and against holding those whose callers have less time than the outage has lasted.
+func TestOutageWithProgramsUnderWay(t *testing.T) {
+	tests := []struct {
+		name          string
+		age, patience time.Duration
+		admitted      bool
+	}{
+		{"a short outage", 300 * time.Millisecond, 0, true},
+		{"the caller can wait as long again", 2 * time.Second, 3 * time.Second, true},
+		{"the caller cannot", 2 * time.Second, time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeStore(1)
+				a, p := startHolder(t, f)
+				defer a.stop()
+				first := beginCovered(t, p)
+				f.setFaults(true, false)
+				_, err := p.Finish(first, turnOf("t1", ""), 50, time.Now())
+				is.NoErr(err)
+				time.Sleep(tt.age)
+				b, err := p.Begin(claimOf("q"), turns.Ref{}, tt.patience, time.Now())
+				is.Equal(err == nil, tt.admitted)
+				is.Equal(errors.Is(err, ErrStoreUnavailable), !tt.admitted)
+				f.setFaults(false, false)
+				if tt.admitted {
+					is.NoErr(p.Await(t.Context(), b.Ticket))
+				}
+			})
+		})
+	}
+}
