--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -131,6 +131,9 @@
 func (p *Partition) confirmBatches(batches int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, batch := range p.queue[:batches] {
+		p.ledger.Confirm(batch)
+	}
 	p.queue = p.queue[batches:]
 	p.confirmed += int64(batches)
 	p.pendingSince = time.Now()
--- a/internal/role/owner/load.go
+++ b/internal/role/owner/load.go
@@ -28,8 +28,8 @@
 func (p *Partition) load(ctx context.Context, opened func()) {
 	began := time.Now()
 	after, records := "", 0
-	finishAccounts := func() {
-		if !p.markAccountsLoaded() {
+	finishAccounts := func(empty bool) {
+		if !p.markAccountsLoaded(empty) {
 			return
 		}
 		p.logEvent("partition_opened", "partition", p.id, "epoch", p.epoch, "records", records,
@@ -38,7 +38,7 @@
 	}
 	apply := func(r store.Record) {
 		if turns.IsTurn(r) {
-			finishAccounts()
+			finishAccounts(false)
 		}
 		records++
 		p.restore(r, records%recordsPerNotify == 0)
@@ -61,7 +61,7 @@
 		}
 	}
 	p.markHistoryLoaded(records == 0)
-	finishAccounts()
+	finishAccounts(records == 0)
 	p.logEvent("partition_read", "partition", p.id, "epoch", p.epoch, "records", records,
 		"ms", time.Since(began).Milliseconds())
 }
@@ -83,13 +83,18 @@
 	}
 }
 
-// markAccountsLoaded reports whether this is the first call.
-func (p *Partition) markAccountsLoaded() bool {
+// markAccountsLoaded opens the ledger and reports whether this is the first call. Empty means that the partition has no
+// records.
+func (p *Partition) markAccountsLoaded(empty bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	loaded := p.accountsLoaded
+	if p.accountsLoaded {
+		return false
+	}
 	p.accountsLoaded = true
-	return !loaded
+	now := time.Now()
+	p.enqueue([]store.Record{p.ledger.Open(empty, now)}, now)
+	return true
 }
 
 func (p *Partition) markHistoryLoaded(initiallyEmpty bool) {
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -36,7 +36,7 @@
 
 	mu     sync.Mutex
 	ledger *turns.Ledger
-	// queue holds the unconfirmed batches of records, oldest first.
+	// queue holds the unconfirmed batches of records, oldest first. The ledger is told when they are confirmed.
 	queue [][]store.Record
 	// submitted and confirmed count batches; submitted >= confirmed. A batch's ticket is the value of submitted after
 	// it.
@@ -79,7 +79,7 @@
 type AdmittedTurn struct {
 	Claim turns.Claim
 	Chain []turns.Turn
-	// Ticket must be confirmed, see Await, before the first token is sent to the caller.
+	// Ticket must be confirmed, see Await, before the first token is sent to the caller; 0 if tokens may be sent at once.
 	Ticket int64
 }
 
@@ -94,7 +94,7 @@
 	if p.lostCause != nil || p.closing {
 		return AdmittedTurn{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	if p.storeUnavailable(now) && now.Sub(p.pendingSince) > patience && !p.runsWithoutStore(c) {
+	if p.storeUnavailable(now) && now.Sub(p.pendingSince) > patience && !p.runsWithoutStore(c, now) {
 		return AdmittedTurn{}, errors.Wrapf(ErrStoreUnavailable, "partition %d for %s",
 			p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
 	}
@@ -102,6 +102,7 @@
 	if err != nil {
 		return AdmittedTurn{}, err
 	}
+	allowed := p.ledger.Allowed(c, now)
 	rec, err := p.ledger.Reserve(c, now)
 	if err != nil {
 		return AdmittedTurn{}, err
@@ -110,7 +111,11 @@
 		p.programTickets[c.Program] = p.enqueue([]store.Record{*rec}, now)
 	}
 	p.activeTurns++
-	return AdmittedTurn{Claim: c, Chain: chain, Ticket: p.programTickets[c.Program]}, nil
+	t := AdmittedTurn{Claim: c, Chain: chain}
+	if !allowed {
+		t.Ticket = p.programTickets[c.Program]
+	}
+	return t, nil
 }
 
 // Abort ends a turn whose answer is incomplete. tokens is the number of tokens sent to the caller.
@@ -208,11 +213,10 @@
 	return p.submitted
 }
 
-// runsWithoutStore reports whether the turn can run while the store is unavailable: a confirmed record covers its
-// tokens, so that the next holder counts them as spent, and the turn needs no record of its own. The caller holds the
-// lock.
-func (p *Partition) runsWithoutStore(c turns.Claim) bool {
-	return !c.Recorded && p.ledger.Covered(c) && p.programTickets[c.Program] <= p.confirmed
+// runsWithoutStore reports whether the turn can run while the store is unavailable: its tokens may be sent at once, and
+// it needs no record of its own. The caller holds the lock.
+func (p *Partition) runsWithoutStore(c turns.Claim, now time.Time) bool {
+	return !c.Recorded && p.ledger.Allowed(c, now)
 }
 
 func (p *Partition) storeUnavailable(now time.Time) bool {
@@ -281,6 +285,9 @@
 func (p *Partition) close() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.closing && p.lostCause == nil {
+		p.enqueue(p.ledger.Close(), time.Now())
+	}
 	p.closing = true
 	return p.lostCause != nil || (p.activeTurns == 0 && p.submitted == p.confirmed)
 }
@@ -290,6 +297,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closing = false
+	if p.lostCause == nil {
+		p.enqueue([]store.Record{p.ledger.Reopen()}, time.Now())
+	}
 }
 
 // expire removes turns and accounts whose retention has ended, and tickets that are confirmed.
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -1,7 +1,11 @@
 // Package turns keeps the history and the token budgets of the programs in one partition: which turns are complete,
 // which turn each of them continues, and how many tokens each program may have used. A Ledger does no I/O. Its methods
-// return the records that make a change durable. An account restored from records never counts fewer tokens as spent
-// than were used.
+// return the records that make a change durable.
+//
+// A program may send its callers one turn more than the confirmed records of its account cover, so that turns go on
+// while the store is away. An account that is restored after its holder died therefore counts at most one turn less as
+// spent than was used, and is not given that turn again: over all holders, a program uses at most its budget and one
+// turn. A holder that hands its partition over records all accounts exactly, see Close.
 package turns
 
 import (
@@ -45,6 +49,12 @@
 	// Ceiling is the maximum number of tokens that may have been used according to the newest record. After a takeover
 	// it counts as spent.
 	Ceiling int64
+	// Confirmed is the ceiling of the newest record that is known to be durable, pending holds those of later records in
+	// order. Spent+Reserved is at most the lowest of them, plus one turn unless Uncertain is set.
+	Confirmed int64
+	pending   []int64
+	// Uncertain is set if one turn more may have been used than Spent counts.
+	Uncertain bool
 	// ExpiresAt is the Unix time in milliseconds until which the account is kept.
 	ExpiresAt int64
 }
@@ -56,6 +66,7 @@
 	// expiresAt is the Unix time in milliseconds until which each turn is kept: the latest ExpiresAt of the turn and of
 	// all turns that continue it.
 	expiresAt map[Ref]int64
+	handover
 }
 
 // New returns an empty ledger.
@@ -99,7 +110,7 @@
 // Reserve reserves tokens for a turn. It returns the record that must be durable before the first token is sent to the
 // caller, or nil if an earlier record already covers the turn.
 func (l *Ledger) Reserve(c Claim, now time.Time) (*store.Record, error) {
-	p := l.accounts[c.Program]
+	p := l.account(c.Program, now)
 	used := p.Spent + p.Reserved + c.MaxTokens
 	if c.Budget > 0 && used > c.Budget {
 		return nil, errors.Wrapf(ErrBudgetExhausted, "program %q: %d of %d tokens spent, %d reserved, %d requested",
@@ -111,15 +122,67 @@
 		l.accounts[c.Program] = p
 		return nil, nil
 	}
-	p.Ceiling = used
+	ceiling := used
 	if !c.Recorded {
-		p.Ceiling += c.reserveAhead(used)
+		ceiling += c.reserveAhead(used)
 	}
-	l.accounts[c.Program] = p
-	r := encodeAccount(c.Program, p)
+	r := l.record(c.Program, p, ceiling)
 	return &r, nil
 }
 
+// account returns the program's account. A program without one may have used a turn at a holder that died before its
+// record was durable.
+func (l *Ledger) account(ref Ref, now time.Time) Account {
+	p, known := l.accounts[ref]
+	if !known {
+		p.Uncertain = now.UnixMilli() < l.unrecordedUntil
+	}
+	return p
+}
+
+// record sets the account's ceiling and returns the record of it.
+func (l *Ledger) record(ref Ref, p Account, ceiling int64) store.Record {
+	p.Ceiling = ceiling
+	p.pending = append(p.pending[:len(p.pending):len(p.pending)], ceiling)
+	l.accounts[ref] = p
+	return encodeAccount(ref, p)
+}
+
+// Allowed reports whether the tokens of a turn that is reserved next may be sent before any further record is confirmed.
+func (l *Ledger) Allowed(c Claim, now time.Time) bool {
+	p := l.account(c.Program, now)
+	limit := p.durable()
+	if l.opened && !p.Uncertain {
+		limit += c.MaxTokens
+	}
+	return p.Spent+p.Reserved+c.MaxTokens <= limit
+}
+
+// durable returns the lowest ceiling that the store may hold.
+func (p Account) durable() int64 {
+	if len(p.pending) == 0 {
+		return p.Confirmed
+	}
+	return min(p.Confirmed, slices.Min(p.pending))
+}
+
+// Confirm marks records that this ledger returned as durable. It must be called in their order.
+func (l *Ledger) Confirm(records []store.Record) {
+	for _, r := range records {
+		kind, ref, err := parseKey(r.Key)
+		switch {
+		case err != nil || len(r.Value) == 0:
+		case kind == handoverKind:
+			l.opened = l.isOpening(r.Value)
+		case kind == programKind:
+			if p, ok := l.accounts[ref]; ok && len(p.pending) > 0 {
+				p.Confirmed, p.pending = p.pending[0], p.pending[1:]
+				l.accounts[ref] = p
+			}
+		}
+	}
+}
+
 // Cancel ends a turn whose answer is incomplete and which used the given number of tokens.
 func (l *Ledger) Cancel(c Claim, tokens int64) {
 	p := l.accounts[c.Program]
@@ -133,10 +196,8 @@
 func (l *Ledger) Finish(c Claim, t Turn, tokens int64) []store.Record {
 	l.Cancel(c, tokens)
 	p := l.accounts[c.Program]
-	p.Ceiling = p.Spent + p.Reserved + c.MaxTokens
-	l.accounts[c.Program] = p
 	l.addTurn(t)
-	return []store.Record{encodeTurn(t), encodeAccount(c.Program, p)}
+	return []store.Record{encodeTurn(t), l.record(c.Program, p, p.Spent+p.Reserved+c.MaxTokens)}
 }
 
 // Import adds turns from another ledger, unless they are known already, and returns their records.
@@ -204,6 +265,9 @@
 	if len(r.Value) == 0 || kind == markerKind {
 		return nil
 	}
+	if kind == handoverKind {
+		return l.restoreHandover(r.Value)
+	}
 	if kind == programKind {
 		p, err := decodeAccount(r.Value)
 		if err != nil {
--- a/internal/state/turns/record.go
+++ b/internal/state/turns/record.go
@@ -15,9 +15,10 @@
 
 // The kinds of records, in the order in which they are read: records are read in the order of their keys.
 const (
-	markerKind  = "m"
-	programKind = "p"
-	turnKind    = "t"
+	handoverKind = "h"
+	markerKind   = "m"
+	programKind  = "p"
+	turnKind     = "t"
 )
 
 var errCorruptRecord = errors.New("corrupt record")
@@ -26,6 +27,7 @@
 type accountRecord struct {
 	Ceiling   int64 `json:"ceiling"`
 	ExpiresAt int64 `json:"until"`
+	Uncertain bool  `json:"uncertain,omitempty"`
 }
 
 // maxNameBytes limits the length of Ref.keyName, so that every key fits in the 255 bytes that the store allows.
@@ -49,7 +51,7 @@
 func parseKey(k string) (kind string, r Ref, err error) {
 	kind, rest, _ := strings.Cut(k, "/")
 	switch kind {
-	case markerKind:
+	case markerKind, handoverKind:
 		return kind, Ref{}, nil
 	case turnKind:
 		_, rest, _ = strings.Cut(rest, "/")
@@ -71,9 +73,9 @@
 func Marker() store.Record { return store.Record{Key: markerKind, Value: []byte{1}} }
 
 func encodeAccount(r Ref, p Account) store.Record {
-	v, err := json.Marshal(accountRecord{Ceiling: p.Ceiling, ExpiresAt: p.ExpiresAt})
+	v, err := json.Marshal(accountRecord{Ceiling: p.Ceiling, ExpiresAt: p.ExpiresAt, Uncertain: p.Uncertain})
 	if err != nil {
-		panic(err) // A struct of two integers.
+		panic(err) // A struct of integers and a boolean.
 	}
 	return store.Record{Key: programKey(r), Value: v}
 }
@@ -83,7 +85,9 @@
 	if err := json.Unmarshal(b, &a); err != nil {
 		return Account{}, errors.Wrap(err, "decode")
 	}
-	return Account{Spent: a.Ceiling, Ceiling: a.Ceiling, ExpiresAt: a.ExpiresAt}, nil
+	return Account{
+		Spent: a.Ceiling, Ceiling: a.Ceiling, Confirmed: a.Ceiling, ExpiresAt: a.ExpiresAt, Uncertain: a.Uncertain,
+	}, nil
 }
 
 // encodeTurn encodes the turn as its JSON part and the input, each prefixed with its length, followed by the output.
