--- a/internal/role/owner/fakestore_test.go
+++ b/internal/role/owner/fakestore_test.go
@@ -16,8 +16,11 @@
 type fakeStore struct {
 	mu         sync.Mutex
 	partitions map[int]*fakePartition
-	// assignments maps a member to its partitions.
+	// assignments maps a member to the partitions that it is to hold. A partition stays with its holder until that has
+	// acknowledged the generation or is no member any more.
 	assignments    map[string][]int
+	holders        map[int]string
+	acknowledged   map[string]int64
 	memberOrder    []string
 	generation     int64
 	partitionCount int
@@ -25,6 +28,8 @@
 	// an error.
 	unavailable, loseAnswers bool
 	appends                  int
+	// failing holds the partitions to which no appends are taken.
+	failing []int
 	// refuseLeave makes Leave fail without effect.
 	refuseLeave bool
 	// joinDelay is how long a Join call takes to reach the store.
@@ -45,6 +50,7 @@
 func newFakeStore(partitions int) *fakeStore {
 	return &fakeStore{
 		partitions: make(map[int]*fakePartition), assignments: make(map[string][]int), partitionCount: partitions,
+		holders: make(map[int]string), acknowledged: make(map[string]int64),
 	}
 }
 
@@ -66,7 +72,7 @@
 func (f *fakeStore) Append(_ context.Context, id int, fe store.Fence, records []store.Record) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unavailable {
+	if f.unavailable || slices.Contains(f.failing, id) {
 		return errors.Wrap(store.ErrRefused, "down")
 	}
 	p := f.partition(id)
@@ -138,7 +144,9 @@
 	take(r)
 }
 
-func (f *fakeStore) Join(_ context.Context, member string, _ int64, _ time.Duration) (store.Assignment, error) {
+func (f *fakeStore) Join(
+	_ context.Context, member string, generation int64, _ time.Duration,
+) (store.Assignment, error) {
 	f.mu.Lock()
 	delay := f.joinDelay
 	f.mu.Unlock()
@@ -152,7 +160,16 @@
 		f.memberOrder = append(f.memberOrder, member)
 		f.rebalance()
 	}
-	return store.Assignment{Generation: f.generation, Partitions: f.assignments[member]}, nil
+	f.acknowledged[member] = generation
+	var held []int
+	for _, id := range f.assignments[member] {
+		if h := f.holders[id]; h != member && slices.Contains(f.memberOrder, h) && f.acknowledged[h] < f.generation {
+			continue
+		}
+		f.holders[id] = member
+		held = append(held, id)
+	}
+	return store.Assignment{Generation: f.generation, Partitions: held}, nil
 }
 
 func (f *fakeStore) Leave(_ context.Context, member string) error {
@@ -187,9 +204,9 @@
 		return nil, errors.Wrap(store.ErrRefused, "down")
 	}
 	var out []store.Owner
-	for m, ps := range f.assignments {
-		for _, p := range ps {
-			out = append(out, store.Owner{Partition: p, Member: m})
+	for id, m := range f.holders {
+		if slices.Contains(f.memberOrder, m) {
+			out = append(out, store.Owner{Partition: id, Member: m})
 		}
 	}
 	return out, nil
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -307,6 +307,10 @@
 		o.logEvent("settling", "generation", a.Generation, "partitions", len(a.Partitions))
 		return true
 	}
+	if p := o.stalledLoss(a, time.Now()); p != nil {
+		o.logEvent("assignment_deferred", "generation", a.Generation, "partition", p.id)
+		return false
+	}
 	o.assign(a)
 	if a.Generation == generation {
 		return false
@@ -328,6 +332,18 @@
 	return now.Before(o.settleUntil)
 }
 
+// stalledLoss returns a partition that the assignment takes away while the store confirms no appends to it; nil if there
+// is none. No other member can open it, so it stays here: as long as this process does not acknowledge the generation,
+// the store goes on naming it as the holder.
+func (o *Owner) stalledLoss(a store.Assignment, now time.Time) *Partition {
+	for _, p := range o.HeldPartitions() {
+		if !slices.Contains(a.Partitions, p.id) && p.stalled(now) {
+			return p
+		}
+	}
+	return nil
+}
+
 // join sends one heartbeat and returns the generation that it acknowledged.
 func (o *Owner) join(ctx context.Context) (generation int64, a store.Assignment, err error) {
 	o.membershipSem <- struct{}{}
--- a/internal/role/owner/stop_test.go
+++ b/internal/role/owner/stop_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"galenaward.example/galenaward/internal/state/turns"
 )
 
 // TestRollingStopWhileAppendsFail covers a graceful stop while the store takes no appends. It guards against partitions
@@ -53,6 +55,47 @@
 	}
 }
 
+// TestReassignmentWhileAppendsFail covers a partition that the store assigns to a new member while it takes no appends to
+// it. It guards against a holder that gives up what nobody else can open.
+func TestReassignmentWhileAppendsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeStore(2)
+		a := startOwner(f, address)
+		defer a.stop()
+		time.Sleep(time.Second)
+		f.setFailingPartitions(0, 1)
+		var tickets []int64
+		held := a.HeldPartitions()
+		is.Equal(len(held), 2)
+		for _, p := range held {
+			b, err := p.Begin(claimOf("p"), turns.Ref{}, 0, time.Now())
+			is.NoErr(err)
+			ticket, err := p.Finish(b, turnOf("t1", ""), 50, time.Now())
+			is.NoErr(err)
+			tickets = append(tickets, ticket)
+		}
+		time.Sleep(2 * stalledAfter)
+		b := startOwner(f, "127.0.0.1:8")
+		defer b.stop()
+		time.Sleep(2 * time.Second)
+		is.Equal(len(a.HeldPartitions()), 2)
+		f.setFailingPartitions()
+		for i, p := range held {
+			is.NoErr(p.Await(t.Context(), tickets[i]))
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(len(a.HeldPartitions()), 1)
+		is.Equal(len(b.HeldPartitions()), 1)
+	})
+}
+
+func (f *fakeStore) setFailingPartitions(ids ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing = ids
+}
+
 func (f *fakeStore) setRefuseLeave(refuse bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
