Repeats of appends begin early and double; an attempt that starts late keeps its sequence number

Found when reading the change: an attempt of an append read the sequence number when it ran; one that was started just before another succeeded could have sent old records under the number of the next append. The fence is now fixed before the first attempt, and a cancelled attempt sends nothing. Found by measuring: attempts were 375 ms apart, so that an append whose answer was lost was repeated later than before. They now begin after the adaptive time-out (100 ms at least), and the pauses double; heartbeats keep the constant pause.

--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -102,11 +102,13 @@
 	}
 }
 
-// attemptAppend appends the records with overlapping attempts until one of them is final or all have failed.
+// attemptAppend appends the records with overlapping attempts until one of them is final or all have failed. The time
+// between two attempts doubles, since each holds a copy of the records.
 func (p *Partition) attemptAppend(ctx context.Context, recs []store.Record) error {
+	fence := store.Fence{Epoch: p.epoch, Sequence: p.sequence} // An attempt may begin late, when this call has ended.
 	_, err := overlapping[struct{}]{
-		interval: p.timeouts.timeout(), limit: maxOverlappingAppends, returned: p.timeouts.storeReturned(),
-		attempt: func(ctx context.Context) (struct{}, error) { return struct{}{}, p.appendOnce(ctx, recs) },
+		interval: func(n int) time.Duration { return p.timeouts.timeout() << n }, returned: p.timeouts.storeReturned(),
+		attempt: func(ctx context.Context) (struct{}, error) { return struct{}{}, p.appendOnce(ctx, fence, recs) },
 		final:   isFinalAppend,
 	}.call(ctx)
 	return err
@@ -118,9 +120,12 @@
 }
 
 // appendOnce makes one attempt of an append.
-func (p *Partition) appendOnce(ctx context.Context, recs []store.Record) error {
+func (p *Partition) appendOnce(ctx context.Context, f store.Fence, recs []store.Record) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	began := time.Now()
-	err := p.log.Append(ctx, p.id, store.Fence{Epoch: p.epoch, Sequence: p.sequence}, recs)
+	err := p.log.Append(ctx, p.id, f, recs)
 	if err == nil {
 		p.timeouts.observe(time.Since(began))
 	}
--- a/internal/role/owner/epoch_test.go
+++ b/internal/role/owner/epoch_test.go
@@ -114,8 +114,9 @@
 	key := fmt.Sprint("t/", m.appends)
 	o.open.sequence++
 	refused := true
+	fence := store.Fence{Epoch: o.open.epoch, Sequence: o.open.sequence}
 	for range 3 {
-		err := o.open.appendOnce(m.t.Context(), []store.Record{{Key: key, Value: []byte{1}}})
+		err := o.open.appendOnce(m.t.Context(), fence, []store.Record{{Key: key, Value: []byte{1}}})
 		if err == nil {
 			m.confirmed = append(m.confirmed, key)
 			return
--- a/internal/role/owner/overlap.go
+++ b/internal/role/owner/overlap.go
@@ -7,13 +7,6 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// maxOverlappingJoins is the number of heartbeats, and maxOverlappingAppends the number of attempts of one append, that
-	// may wait for an answer at the same time. Each attempt of an append holds a copy of its records.
-	maxOverlappingJoins   = 15
-	maxOverlappingAppends = 4
-)
-
 // attemptResult is the outcome of one attempt of a store call.
 type attemptResult[T any] struct {
 	value T
@@ -23,10 +16,9 @@
 // overlapping makes a store call that may safely be repeated with attempts that overlap: an attempt that began while the
 // store was silent may never be answered, and one that is abandoned early is never answered by a slow store.
 type overlapping[T any] struct {
-	// interval is the time after which a call without an answer is repeated.
-	interval time.Duration
-	// limit is the number of attempts that may wait for an answer at the same time; at least 1.
-	limit int
+	// interval returns the time after which the nth attempt, from 0, is followed by another if it has no answer; it is
+	// positive.
+	interval func(n int) time.Duration
 	// returned is closed when the store answers another call again, upon which the call is repeated at once; may be nil.
 	returned <-chan struct{}
 	attempt  func(context.Context) (T, error)
@@ -38,20 +30,25 @@
 func (o overlapping[T]) call(ctx context.Context) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTimeout)
 	defer cancel()
-	results := make(chan attemptResult[T], o.limit+1)
+	results := make(chan attemptResult[T])
 	var eg errgroup.Group
-	running := 0
+	started, running := 0, 0
+	next := time.NewTimer(0)
+	defer next.Stop()
 	start := func() {
+		next.Reset(o.interval(started))
+		started++
 		running++
 		eg.Go(func() error {
 			v, err := o.attempt(ctx)
-			results <- attemptResult[T]{v, err}
+			select {
+			case results <- attemptResult[T]{v, err}:
+			case <-ctx.Done(): // Nobody waits for the result any more.
+			}
 			return nil
 		})
 	}
 	start()
-	next := time.NewTicker(max(o.interval, maxTimeout/time.Duration(o.limit)))
-	defer next.Stop()
 	returned := o.returned
 	for {
 		select {
@@ -60,6 +57,9 @@
 			if o.final(r.err) || running == 0 {
 				return r.value, r.err
 			}
+		case <-ctx.Done():
+			var none T
+			return none, ctx.Err()
 		case <-next.C:
 			start()
 		case <-returned:
--- a/internal/role/owner/overlap_test.go
+++ b/internal/role/owner/overlap_test.go
@@ -11,6 +11,8 @@
 	"galenaward.example/galenaward/internal/state/store"
 )
 
+func everyMinTimeout(int) time.Duration { return minTimeout }
+
 // TestReturnOfTheStoreIsNoticedWithinOneInterval guards against a second wait after an outage: calls that began while
 // the store was silent are never answered, and the next one was only made when they had timed out.
 func TestReturnOfTheStoreIsNoticedWithinOneInterval(t *testing.T) {
@@ -29,7 +31,7 @@
 				}
 				for {
 					if _, err := (overlapping[struct{}]{
-						interval: minTimeout, limit: maxOverlappingJoins, attempt: attempt, final: isFinalAppend,
+						interval: everyMinTimeout, attempt: attempt, final: isFinalAppend,
 					}).call(t.Context()); err == nil {
 						break
 					}
@@ -48,7 +50,7 @@
 		const latency = maxTimeout - 100*time.Millisecond
 		began := time.Now()
 		_, err := overlapping[struct{}]{
-			interval: minTimeout, limit: maxOverlappingAppends, final: isFinalAppend,
+			interval: everyMinTimeout, final: isFinalAppend,
 			attempt: func(ctx context.Context) (struct{}, error) {
 				select {
 				case <-time.After(latency):
@@ -69,7 +71,7 @@
 		is := is.New(t)
 		attempts := 0
 		_, err := overlapping[struct{}]{
-			interval: minTimeout, limit: maxOverlappingAppends, final: isFinalAppend,
+			interval: everyMinTimeout, final: isFinalAppend,
 			attempt: func(context.Context) (struct{}, error) {
 				attempts++
 				return struct{}{}, store.ErrFenced
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -355,7 +355,7 @@
 		return generation, a, errLeaving
 	}
 	a, err = overlapping[store.Assignment]{
-		interval: o.timeouts.timeout(), limit: maxOverlappingJoins,
+		interval: func(int) time.Duration { return o.timeouts.timeout() },
 		attempt: func(ctx context.Context) (store.Assignment, error) {
 			return o.store.Join(ctx, o.member, generation, memberTTL)
 		},
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -22,7 +22,8 @@
 // The store usually answers within a few milliseconds, and within a quarter of a second when it is slow.
 const unavailableAfter = 700 * time.Millisecond
 
-// stalledAfter is how long an append may stay unconfirmed before a process that stops waits for the store.
+// stalledAfter is how long an append may stay unconfirmed before the partition is no longer handed over, since no other
+// process can open it then.
 const stalledAfter = 100 * time.Millisecond
 
 // Partition is a partition that this process holds. Records are queued in batches; appends to the store run one at a
--- a/internal/state/turns/allowance_test.go
+++ b/internal/state/turns/allowance_test.go
@@ -20,10 +20,8 @@
 	ledger *Ledger
 	// unconfirmed holds the batches that the store has not taken yet, oldest first.
 	unconfirmed [][]store.Record
-	// running are the turns that may send tokens, by the tokens that each has sent.
-	running []int64
-	handed  map[Ref]int64
-	closed  bool
+	handed      map[Ref]int64
+	closed      bool
 }
 
 const modelTurnTokens = 100
