--- a/internal/state/turns/allowance_test.go
+++ b/internal/state/turns/allowance_test.go
@@ -178,3 +178,17 @@
 	is.True(after.account(Ref{"shop", "new"}, start).Uncertain)
 	is.True(!after.account(Ref{"shop", "new"}, start.Add(unrecordedTTL)).Uncertain)
 }
+
+// TestAccountStaysWhileItsRecordsAreUnconfirmed guards against a record of an expired account that is confirmed late, in
+// an outage longer than the retention, and counts towards the program's next account.
+func TestAccountStaysWhileItsRecordsAreUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	c := Claim{Program: Ref{"shop", "p1"}, Budget: 1000, MaxTokens: 100, AccountTTL: time.Minute}
+	l := New()
+	rec, err := l.Reserve(c, start)
+	is.NoErr(err)
+	l.Cancel(c, 100)
+	is.Equal(len(l.Expire(start.Add(time.Hour))), 0)
+	l.Confirm([]store.Record{*rec})
+	is.Equal(len(l.Expire(start.Add(time.Hour))), 1)
+}
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -306,6 +306,7 @@
 }
 
 // Expire removes turns and accounts whose retention has ended and returns the records that remove them from the store.
+// Accounts stay while records of theirs are unconfirmed, since Confirm would count those towards a later account.
 func (l *Ledger) Expire(now time.Time) []store.Record {
 	var out []store.Record
 	at := now.UnixMilli()
@@ -317,7 +318,7 @@
 		}
 	}
 	for ref, p := range l.accounts {
-		if p.ExpiresAt < at && p.Reserved == 0 {
+		if p.ExpiresAt < at && p.Reserved == 0 && len(p.pending) == 0 {
 			delete(l.accounts, ref)
 			out = append(out, store.Record{Key: programKey(ref)})
 		}
