--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -108,7 +108,7 @@
 }
 
 // Reserve reserves tokens for a turn. It returns the record that must be durable before the first token is sent to the
-// caller, or nil if an earlier record already covers the turn.
+// caller, unless Allowed was true before, or nil if an earlier record already covers the turn.
 func (l *Ledger) Reserve(c Claim, now time.Time) (*store.Record, error) {
 	p := l.account(c.Program, now)
 	used := p.Spent + p.Reserved + c.MaxTokens
