--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Plays the case "quota" of review/rig: exit status 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 leaves the disruption out.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+[ -x review/bin/rig ] && [ -x target/galenaward ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
+exec review/bin/rig quota "$folder"
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -272,3 +273,84 @@
 	}
 	return broken, nil
 }
+
+// playQuota: the gateway that allocates a tenant's rate is cut off from the store and from the other gateways for 8 s,
+// while clients reach all. QUOTA: in some quotaWindowS more requests of the tenant are sent and run than
+// (ratePerS x window + burst) x (1 + quotaOverage) + quotaSlack, summed over all machines, in touch or not.
+func playQuota(f *fleet, trouble bool) (bool, error) {
+	const (
+		rate, burst, window = 40, 40, 5 * time.Second
+		allowed             = (rate*5+burst)*1.1 + 20
+		load                = 20 * time.Millisecond // Between two requests at each gateway.
+		before, cut, after  = 8 * time.Second, 8 * time.Second, 4 * time.Second
+	)
+	a := f.store.holderOf(partitionOf("rate/bazaar"))
+	allocator := f.gateways[0]
+	for _, gw := range f.gateways {
+		if gw.peers == a {
+			allocator = gw
+		}
+	}
+	f.record.say("-- %s allocates the rate of the tenant bazaar", allocator.name)
+	setCut := func(cut bool) {
+		allocator.door.setCut(cut)
+		for _, gw := range f.gateways {
+			for _, l := range gw.links {
+				if gw == allocator || l.to == allocator.peers {
+					l.setCut(cut)
+				}
+			}
+		}
+		f.record.say("-- %s is cut off from the store and the other gateways: %v", allocator.name, cut)
+	}
+	var mu sync.Mutex
+	var served []time.Time
+	byGateway := map[string]int{}
+	var g sync.WaitGroup
+	end := time.Now().Add(before + cut + after)
+	for _, gw := range f.gateways {
+		g.Go(func() {
+			for tick := time.NewTicker(load); time.Now().Before(end); <-tick.C {
+				g.Go(func() {
+					r := lookup(gw.callers)
+					if list := runsOf(f.workers, r.id); len(list) > 0 {
+						mu.Lock()
+						served = append(served, list[0].at)
+						byGateway[fmt.Sprintf("%s second %2.0f", gw.name, r.sent.Sub(f.record.began).Seconds())]++
+						mu.Unlock()
+					}
+				})
+			}
+		})
+	}
+	if trouble {
+		g.Go(func() {
+			time.Sleep(before)
+			setCut(true)
+			time.Sleep(cut)
+			setCut(false)
+		})
+	}
+	g.Wait()
+	var keys []string
+	for k := range byGateway {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		f.record.say("%s: %d requests run", k, byGateway[k])
+	}
+	slices.SortFunc(served, func(a, b time.Time) int { return a.Compare(b) })
+	most, first := 0, 0
+	for i := range served {
+		for served[i].Sub(served[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	f.record.say("most requests run in %s: %d, allowed %.0f", window, most, allowed)
+	if most == 0 {
+		return false, errSetup
+	}
+	return float64(most) > allowed, nil
+}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -91,3 +91,28 @@
 	r.end = time.Now()
 	return r
 }
+
+// lookup sends an idempotent request of the tenant with a limit.
+func lookup(gateway string) result {
+	r := result{id: fmt.Sprintf("%08x%08x", time.Now().Unix(), attempts.Add(1)), sent: time.Now()}
+	const wait = 1200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	defer func() { r.end = time.Now() }()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/status/2f", nil)
+	if err != nil {
+		return r
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Galenaward-Request-Id", r.id)
+	q.Header.Set("X-Galenaward-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	q.Header.Set("Authorization", "Bearer key2")
+	resp, err := client.Do(q)
+	if err != nil {
+		return r
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	r.status, r.whole = resp.StatusCode, err == nil
+	return r
+}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -18,16 +18,23 @@
 
 const config = `{"version":%d,"routes":[
 {"name":"chat","host":"h.example","pathPrefix":"/chat/","routeType":"streaming","timeoutMs":4000,"sloMs":300,"priority":0,"service":"engines","maxAttempts":2,"keepsHistory":true,"retentionS":60.0,"anonymous":false,"sticky":true,"resumable":false,"gapTargetMs":400},
-{"name":"assess","host":"h.example","pathPrefix":"/assess/","routeType":"streaming","timeoutMs":4000,"sloMs":300,"priority":1,"service":"engines","maxAttempts":2,"keepsHistory":false,"retentionS":60.0,"anonymous":false,"sticky":true,"resumable":true,"gapTargetMs":400}],
+{"name":"assess","host":"h.example","pathPrefix":"/assess/","routeType":"streaming","timeoutMs":4000,"sloMs":300,"priority":1,"service":"engines","maxAttempts":2,"keepsHistory":false,"retentionS":60.0,"anonymous":false,"sticky":true,"resumable":true,"gapTargetMs":400},
+{"name":"status","host":"h.example","pathPrefix":"/status/","routeType":"idempotent","timeoutMs":1200,"sloMs":200,"priority":2,"service":"engines","maxAttempts":3,"keepsHistory":false,"retentionS":0,"anonymous":false,"sticky":false,"resumable":false}],
 "services":[{"name":"engines","healthPath":"/healthz","maxConns":170,"engine":{"slots":12,"kvCapacity":378489,"chunkTokens":10}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"kura","apiKeys":["key1"],"priority":1,"ratePerS":0,"burst":0}]}`
+"tenants":[{"name":"kura","apiKeys":["key1"],"priority":1,"ratePerS":0,"burst":0},
+{"name":"bazaar","apiKeys":["key2"],"priority":1,"ratePerS":40,"burst":40}]}`
 
 // gateway is a gateway process.
 type gateway struct {
 	name, callers, ready, peers, file, log string
 	cmd                                    *exec.Cmd
-	exited                                 chan struct{}
+	// door is the gateway's way to the store, links are those to other gateways, and seeds their addresses. All are nil
+	// without proxies.
+	door   *door
+	links  []*link
+	seeds  []string
+	exited chan struct{}
 }
 
 // fleet is a small deployment: gateways as processes, the store and the workers in this process.
@@ -73,7 +80,7 @@
 	return "", fmt.Errorf("no free port")
 }
 
-func newFleet(dir string, gateways, workers int) (*fleet, error) {
+func newFleet(dir string, gateways, workers int, linked bool) (*fleet, error) {
 	file, err := os.Create(filepath.Join(dir, "record.txt"))
 	if err != nil {
 		return nil, err
@@ -103,6 +110,11 @@
 		g.file, g.log = filepath.Join(f.dir, g.name+".json"), filepath.Join(f.dir, g.name+".log")
 		f.gateways = append(f.gateways, g)
 	}
+	if linked {
+		if err := f.link(); err != nil {
+			return nil, err
+		}
+	}
 	for _, g := range f.gateways {
 		if err := f.start(g, true); err != nil {
 			return f, err
@@ -114,6 +126,28 @@
 	return f, f.waitBalanced(10 * time.Second)
 }
 
+// link puts a proxy on each way between two gateways and between a gateway and the store.
+func (f *fleet) link() (err error) {
+	for _, g := range f.gateways {
+		if g.door, err = newDoor(f.store); err != nil {
+			return err
+		}
+		for _, o := range f.gateways {
+			if o == g {
+				continue
+			}
+			l, err := newLink(o.peers)
+			if err != nil {
+				return err
+			}
+			g.door.links[o.peers] = l.address
+			g.seeds = append(g.seeds, l.address)
+			g.links = append(g.links, l)
+		}
+	}
+	return nil
+}
+
 // waitBalanced waits until every gateway has held its share of the partitions for two seconds.
 func (f *fleet) waitBalanced(limit time.Duration) error {
 	since := time.Now()
@@ -136,13 +170,17 @@
 
 // start runs the command of the deploy file with the settings that its template gives.
 func (f *fleet) start(g *gateway, first bool) error {
-	seeds := []string{}
-	for _, o := range f.gateways {
-		seeds = append(seeds, o.peers)
+	seeds, address := g.seeds, f.store.address
+	if g.door != nil {
+		address = g.door.address
+	} else {
+		for _, o := range f.gateways {
+			seeds = append(seeds, o.peers)
+		}
 	}
 	b, _ := json.Marshal(map[string]any{
 		"vm": g.name, "data_centre": "a", "listen_callers": g.callers, "listen_ready": g.ready, "listen_peers": g.peers,
-		"seeds": seeds, "listen_operators": "", "log_address": f.store.address, "partitions": partitions,
+		"seeds": seeds, "listen_operators": "", "log_address": address, "partitions": partitions,
 		"record_bytes": recordBytes, "first_start": first, "memory_mb": 154, "max_connections": 4000, "stop_ms": 7000,
 	})
 	if err := os.WriteFile(g.file, b, 0o644); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,14 +15,17 @@
 // scenario plays a case and reports whether the rule was broken.
 type scenario struct {
 	gateways, workers int
-	play              func(f *fleet, trouble bool) (broken bool, err error)
+	// linked puts proxies between the gateways and the store.
+	linked bool
+	play   func(f *fleet, trouble bool) (broken bool, err error)
 }
 
 var scenarios = map[string]scenario{
-	"budget":    {2, 2, playBudget},
-	"retention": {2, 2, playRetention},
-	"chain":     {2, 2, playChain},
-	"leaving":   {2, 2, playLeaving},
+	"budget":    {2, 2, false, playBudget},
+	"retention": {2, 2, false, playRetention},
+	"chain":     {2, 2, false, playChain},
+	"leaving":   {2, 2, false, playLeaving},
+	"quota":     {3, 4, true, playQuota},
 }
 
 func main() { os.Exit(play()) }
@@ -37,7 +40,7 @@
 		fmt.Println("unknown case", os.Args[1])
 		return 2
 	}
-	f, err := newFleet(os.Args[2], s.gateways, s.workers)
+	f, err := newFleet(os.Args[2], s.gateways, s.workers, s.linked)
 	if f != nil {
 		defer f.close()
 	}
