--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-[ -x review/bin/rig ] && [ -x target/galenaward ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec review/bin/rig chain "$folder"
+[ -x target/review-rig ] && [ -x target/galenaward ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
+exec target/review-rig chain "$folder"
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases, a module of its own without dependencies.
 set -eu
 cd "$(dirname "$0")/rig"
-GOFLAGS=-buildvcs=false GOWORK=off go build -o ../bin/rig .
+GOFLAGS=-buildvcs=false GOWORK=off go build -o ../../target/review-rig .
