gate: log how an upstream's answer was framed and how it ended

Logs could not tell its hypotheses apart: nothing said how an answer was framed, at which point of an event it ended, or that writing the request had failed. answer_end says it for answers whose end only the connection marks and for those that end in an event; the cause in try_failed names framing and size. No decision changes. Tests of platform, gate and wire passed with -race.

--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -214,6 +214,7 @@
 		g.recordBroken(ctx, a, u, errors.Newf("answer with status %d has no signature", resp.Status))
 		return nil, false
 	}
+	resp.Body = g.newAnswerBody(a, u, resp)
 	return resp, true
 }
 
--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -50,11 +50,23 @@
 	Body   []byte
 }
 
+// Framing is the way in which the end of a response body is marked.
+type Framing string
+
+// The framings of HTTP/1.1. A body without a length or chunks ends with its connection.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	FramedByClose  Framing = "close"
+)
+
 // Response is a response whose body has not been read. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Framing is how the end of Body is marked.
+	Framing Framing
 
 	ex *exchange
 }
@@ -105,7 +117,17 @@
 		}
 		return nil, errors.Wrapf(err, "read response from %s", address)
 	}
-	return &Response{Status: ex.resp.StatusCode, Header: ex.resp.Header, Body: (*body)(ex), ex: ex}, nil
+	return &Response{
+		Status: ex.resp.StatusCode, Header: ex.resp.Header, Body: (*body)(ex), Framing: ex.framing(), ex: ex,
+	}, nil
+}
+
+// WriteError returns the error with which the write of the request ended; nil while it goes on.
+func (r *Response) WriteError() error {
+	if !r.ex.isWritten() {
+		return nil
+	}
+	return r.ex.writer.Wait()
 }
 
 // send writes the request, in the background if it is larger than inlineBytes.
@@ -164,7 +186,8 @@
 func (e *exchange) close() {
 	e.once.Do(func() {
 		stopped := e.stopWatch()
-		if !stopped || !e.complete || !e.isWritten() || e.resp.Close || e.closeDelimited() || e.c.br.Buffered() > 0 {
+		if !stopped || !e.complete || !e.isWritten() || e.resp.Close || e.framing() == FramedByClose ||
+			e.c.br.Buffered() > 0 {
 			_ = e.c.Close()
 			return
 		}
@@ -178,9 +201,14 @@
 	_ = e.c.Close()
 }
 
-// closeDelimited reports whether the body is delimited only by the end of the connection.
-func (e *exchange) closeDelimited() bool {
-	return e.resp.ContentLength < 0 && !slices.Contains(e.resp.TransferEncoding, "chunked")
+func (e *exchange) framing() Framing {
+	switch {
+	case slices.Contains(e.resp.TransferEncoding, "chunked"):
+		return FramedByChunks
+	case e.resp.ContentLength >= 0 || e.resp.Body == http.NoBody:
+		return FramedByLength
+	}
+	return FramedByClose
 }
 
 // body reads the response body and records whether its end was reached.
