gate: an event stream is complete only between two events

Cause: the end of the body was all that decided. An engine that crashes closes its connection in order, or ends its chunks, and the gateway took that for the end of the answer. Class: the end of a transport taken for the end of a message. Ruled out: the hop between gateways, since both places of the fault are at the home, before it. AtBoundary of the scanner is untouched: it counts tokens.

--- a/internal/wire/events/boundary.go
+++ b/internal/wire/events/boundary.go
@@ -1,6 +1,13 @@
 package events
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrTruncated means that a stream ended anywhere but between two events.
+var ErrTruncated = errors.New("event stream was cut off")
 
 // Boundary tracks whether an event stream is between two events. A stream that ends anywhere else was cut off. The zero
 // value is the start of a stream.
