httpc: a reset that the request's writer received is not the end of a response

Cause: Linux reports a reset once per socket. A request of more than 8 KiB is written in the background; if that write takes the error, the next read returns an ordinary end, which ends a body without a framing. A turn's prompt reaches that size after a few turns. Change: such a body ends whole only if the request was written without an error. Discard no longer reads bodies that end with their connection, since that connection is closed anyway.

--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -76,11 +76,14 @@
 
 // Discard reads the rest of a short response, so that its connection can be reused, and closes the response.
 func (r *Response) Discard() {
+	defer r.Close()
+	if r.Framing == FramedByClose {
+		return // Its connection cannot be reused.
+	}
 	// If the deadline cannot be set, the end of ctx closes the connection.
 	_ = r.ex.c.SetReadDeadline(time.Now().Add(discardTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, discardBytes))
 	_ = r.ex.c.SetReadDeadline(time.Time{})
-	r.Close()
 }
 
 // exchange is one request and its response on a connection.
@@ -216,10 +219,18 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if (*exchange)(b).framing() == FramedByClose {
+		// The system reports a reset only once. If the writer received it, the reader sees an ordinary end.
+		<-b.writeEnded
+		if werr := b.writer.Wait(); werr != nil {
+			return n, errors.Mark(errors.Wrap(werr, "connection ended while the request was written"), io.ErrUnexpectedEOF)
+		}
 	}
-	return n, err
+	b.complete = true
+	return n, io.EOF
 }
 
 // encodeHeader returns the request line and headers. Line breaks in header values are replaced by spaces.
