runner: a reset that the request's writer received is not the end of an answer

Evidence: TestResetDuringServiceCallIsNotDone, 74 of 100 truncated answers counted as complete before, none after; the reader did not see the reset of 82 of 100. TestTruncatedAnswerIsNotDone: 383 answers of engines and services, cut at every byte of head and body, none counted as complete before or after. Change: an answer with neither length nor chunks is complete only if the write of its request succeeded, which net/http tells by its trace.

--- a/internal/role/runner/upstream.go
+++ b/internal/role/runner/upstream.go
@@ -177,7 +177,10 @@
 
 func (u *Upstream) send(ctx context.Context, method, path string, j *job, body []byte) (*http.Response, bool, error) {
 	sent := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
+	write := newRequestWrite()
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true }, WroteRequest: write.record,
+	}
 	req, err := http.NewRequestWithContext(
 		httptrace.WithClientTrace(ctx, trace), method, u.BaseURL+path, bytes.NewReader(body))
 	if err != nil {
@@ -190,6 +193,9 @@
 	req.Header.Set("Galenaward-Program", j.req.Program)
 	u.Tracer.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := u.Client.Do(req)
+	if err == nil && isUnframed(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, ctx: ctx, write: write}
+	}
 	return resp, sent, err
 }
 
