httpc: a connection carries no two requests that a response could be mistaken for

Cause: a response is attributed by its ID, and two cases have none of their own: attempts of one request share an ID, and a response without an ID was taken for the answer to whatever was sent last. A worker that writes an earlier refusal once more on a kept connection meets both. Change: a connection remembers the IDs that it carried, up to 256, and is not used again for one of them; a response without an ID is accepted only on a connection that carried nothing else, and leaves the outcome unknown elsewhere. The codec now tells the ID and httpc compares, so that the rule stands once. FuzzResponse plays a reused connection, where its check holds as it was: a response without an ID may be accepted on a new one.

--- a/internal/role/gate/call.go
+++ b/internal/role/gate/call.go
@@ -94,8 +94,8 @@
 type Codec interface {
 	// RequestHeaders returns the headers to send to an upstream.
 	RequestHeaders(c *Call, d UpstreamParams) http.Header
-	// MatchesRequest reports whether the response headers belong to the call with the ID.
-	MatchesRequest(h http.Header, id string) bool
+	// ResponseID returns the ID of the call that the response headers belong to; empty if they carry none.
+	ResponseID(h http.Header) string
 	// ParseResponse parses the status and headers of a response.
 	ParseResponse(status int, h http.Header) ResponseInfo
 	// ResponseHeaders returns the headers to send to the caller.
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -176,10 +176,10 @@
 		ResumeAfter: a.resumeAfter,
 	}
 	q := &httpc.Request{
-		Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
+		ID: a.call.ID, Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
 		Header: g.codec.RequestHeaders(a.call, d), Body: body,
 	}
-	resp, err := g.pool.Do(ctx, u.Address, q, func(h http.Header) bool { return g.codec.MatchesRequest(h, a.call.ID) })
+	resp, err := g.pool.Do(ctx, u.Address, q, g.codec.ResponseID)
 	if errors.Is(err, httpc.ErrUnsent) {
 		a.unreachable++
 		a.lastErr = err
--- a/internal/wire/httpc/conn.go
+++ b/internal/wire/httpc/conn.go
@@ -16,6 +16,8 @@
 	maxIdle = 4 * time.Second
 	// idleMargin is how long before the upstream's own idle timeout a connection expires.
 	idleMargin = 500 * time.Millisecond
+	// maxExchanges bounds the exchanges of one connection, and with them the IDs that it remembers.
+	maxExchanges = 256
 )
 
 // conn is a connection to an upstream. It carries one exchange at a time.
@@ -26,6 +28,9 @@
 	headerLeft int64
 	// expires is when the connection, if idle, may no longer be reused.
 	expires time.Time
+	// carried holds the hashes of the IDs of all requests that were sent on the connection. No two are equal: a repeated
+	// response to the earlier request could not be told from the response to the later one.
+	carried []uint64
 }
 
 func newConn(nc net.Conn) *conn {
@@ -49,7 +54,7 @@
 
 // usable reports whether an idle connection has not expired, is open and has no unsolicited bytes to read.
 func (c *conn) usable(now time.Time) bool {
-	if c.br.Buffered() > 0 || !now.Before(c.expires) {
+	if c.br.Buffered() > 0 || !now.Before(c.expires) || len(c.carried) >= maxExchanges {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -34,7 +34,7 @@
 var (
 	// ErrUnsent means that no byte of the request left this process.
 	ErrUnsent = errors.New("request was not sent")
-	// ErrMismatchedResponse means that only responses to other requests arrived.
+	// ErrMismatchedResponse means that only responses to other requests arrived, or one that may belong to another.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
 	// ErrHeaderTooLarge means that the status line and headers of a response exceed the limit.
 	ErrHeaderTooLarge = errors.New("response headers are too large")
@@ -42,6 +42,8 @@
 
 // Request is a request as it is written to the connection.
 type Request struct {
+	// ID is the ID that the response carries. Attempts of one request share it.
+	ID     string
 	Method string
 	// Target is the request target, written unchanged.
 	Target string
@@ -99,11 +101,14 @@
 	once       sync.Once
 }
 
-// Do sends the request and returns the response once its headers are read. mine reports from the headers whether a
-// response belongs to the request. When ctx ends, the connection is closed. The error is marked with ErrUnsent if the
-// request cannot have been executed.
-func (p *Pool) Do(ctx context.Context, address string, q *Request, matches func(http.Header) bool) (*Response, error) {
-	c, err := p.get(ctx, address)
+// Do sends the request and returns the response once its headers are read. responseID returns the ID of the request that
+// a response belongs to, or an empty string. A response without an ID is accepted only on a connection that has carried no
+// other request. When ctx ends, the connection is closed. The error is marked with ErrUnsent if the request cannot have
+// been executed.
+func (p *Pool) Do(
+	ctx context.Context, address string, q *Request, responseID func(http.Header) string,
+) (*Response, error) {
+	c, err := p.get(ctx, address, q.ID)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrUnsent)
 	}
@@ -113,7 +118,7 @@
 		ex.abort()
 		return nil, errors.Wrapf(err, "send request to %s", address)
 	}
-	if err := ex.receive(q.Method, matches); err != nil {
+	if err := ex.receive(q, responseID); err != nil {
 		ex.abort()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
@@ -151,10 +156,10 @@
 }
 
 // receive reads responses until one belongs to the request. It skips informational ones and a few to other requests.
-func (e *exchange) receive(method string, matches func(http.Header) bool) error {
+func (e *exchange) receive(q *Request, responseID func(http.Header) string) error {
 	for range maxSkipped + 1 {
 		e.c.headerLeft = maxHeaderBytes
-		resp, err := http.ReadResponse(e.c.br, &http.Request{Method: method})
+		resp, err := http.ReadResponse(e.c.br, &http.Request{Method: q.Method})
 		if err != nil {
 			return err
 		}
@@ -162,9 +167,12 @@
 			continue
 		}
 		e.c.headerLeft = -1
-		if matches(resp.Header) {
+		switch id := responseID(resp.Header); {
+		case id == q.ID, id == "" && len(e.c.carried) == 1:
 			e.resp = resp
 			return nil
+		case id == "":
+			return errors.Wrapf(ErrMismatchedResponse, "status %d without an ID on a reused connection", resp.StatusCode)
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
 		if err != nil || n == maxSkippedBytes || resp.Close {
--- a/internal/wire/httpc/fuzz_test.go
+++ b/internal/wire/httpc/fuzz_test.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// FuzzResponse feeds arbitrary bytes to the client as a response. Reading must terminate, and a response must be
+// FuzzResponse feeds arbitrary bytes to the client as a response on a reused connection. Reading must terminate, and a response must be
 // returned only if its headers carry the id of the request.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []string{
@@ -38,10 +38,11 @@
 		p := NewPool()
 		c := newConn(client)
 		c.expires = time.Now().Add(time.Hour)
+		c.carried = []uint64{0}
 		p.idle["a"] = []*conn{c}
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		a, err := p.Do(ctx, "a", request("a", ""), func(h http.Header) bool { return h.Get("Id") == "a" })
+		a, err := p.Do(ctx, "a", request("a", ""), responseID)
 		if err == nil {
 			if a.Header.Get("Id") != "a" {
 				t.Fatal("accepted a response to another request")
--- a/internal/wire/httpc/httpc_test.go
+++ b/internal/wire/httpc/httpc_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -61,13 +62,15 @@
 }
 
 func request(id, body string) *Request {
-	return &Request{Method: "POST", Target: "/a//b?x=%2f", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body)}
+	return &Request{ID: id, Method: "POST", Target: "/a//b?x=%2f", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body)}
 }
 
+func responseID(h http.Header) string { return h.Get("Id") }
+
 func exchangeOnce(p *Pool, address, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	a, err := p.Do(ctx, address, request(id, "ping"), func(h http.Header) bool { return h.Get("Id") == id })
+	a, err := p.Do(ctx, address, request(id, "ping"), responseID)
 	if err != nil {
 		return "", err
 	}
@@ -150,6 +153,74 @@
 	}
 }
 
+// TestRepeatedResponse guards against taking a repeated response to an earlier request, or to an earlier attempt of the
+// same one, for the response to a later one on the same connection.
+func TestRepeatedResponse(t *testing.T) {
+	tests := []struct {
+		name string
+		// first is the response to the first request on each connection; it is written again before those to later ones.
+		// % stands for the request's ID.
+		first, firstID, secondID string
+		// wantErr reports whether the second exchange must fail, conns is the number of connections that both open.
+		wantErr bool
+		conns   int64
+	}{
+		{"other request", responseTo("1"), "1", "2", false, 1},
+		{"another attempt of the request", responseTo("1"), "1", "1", false, 2},
+		{"without an ID", strings.Replace(pong, "Id: %\r\n", "", 1), "1", "2", true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+				for i := 0; ; i++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, tt.first)
+					if i > 0 {
+						_, _ = io.WriteString(c, strings.Replace(responseTo(r.Header.Get("Id")), "pong", "good", 1))
+					}
+				}
+			})
+			p := NewPool()
+			b, err := exchangeOnce(p, s.Addr().String(), tt.firstID)
+			is.NoErr(err)
+			is.Equal(b, "pong")
+			b, err = exchangeOnce(p, s.Addr().String(), tt.secondID)
+			is.Equal(err != nil, tt.wantErr)
+			is.Equal(errors.Is(err, ErrMismatchedResponse), tt.wantErr)
+			if tt.conns == 1 && !tt.wantErr {
+				is.Equal(b, "good")
+			}
+			is.Equal(s.conns.Load(), tt.conns)
+		})
+	}
+}
+
+// TestConnectionIsReplacedAfterMaxExchanges checks the bound on the IDs that a connection remembers.
+func TestConnectionIsReplacedAfterMaxExchanges(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, responseTo(r.Header.Get("Id")))
+		}
+	})
+	p := NewPool()
+	for i := range maxExchanges + 1 {
+		_, err := exchangeOnce(p, s.Addr().String(), strconv.Itoa(i))
+		is.NoErr(err)
+	}
+	is.Equal(s.conns.Load(), int64(2))
+}
+
 // TestRequestIsNotRetried closes a reused connection after it carried a request. http.Transport would retry the request
 // for some methods; this client must not.
 func TestRequestIsNotRetried(t *testing.T) {
@@ -169,7 +240,7 @@
 	p := NewPool()
 	get := func() error {
 		a, err := p.Do(context.Background(), s.Addr().String(), &Request{Method: "GET", Target: "/", Host: "h"},
-			func(http.Header) bool { return true })
+			func(http.Header) string { return "" })
 		if err != nil {
 			return err
 		}
@@ -226,7 +297,7 @@
 	defer close(done)
 	p := NewPool()
 	a, err := p.Do(context.Background(), s.Addr().String(), request("1", strings.Repeat("x", 16<<20)),
-		func(http.Header) bool { return true })
+		responseID)
 	is.NoErr(err)
 	b, err := io.ReadAll(a.Body)
 	is.NoErr(err)
@@ -245,7 +316,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := NewPool().Do(ctx, s.Addr().String(), request("1", ""), func(http.Header) bool { return true })
+	_, err := NewPool().Do(ctx, s.Addr().String(), request("1", ""), responseID)
 	is.True(errors.Is(err, context.Canceled))
 	select {
 	case <-closed:
--- a/internal/wire/httpc/pool.go
+++ b/internal/wire/httpc/pool.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -68,15 +70,16 @@
 	return setErr
 }
 
-// get returns a usable idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	now := time.Now()
+// get returns a usable idle connection that has not carried a request with the ID, or opens a new one.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
+	now, hash := time.Now(), xxhash.Sum64String(id)
 	for {
-		c := p.pop(address)
+		c := p.pop(address, hash, id != "")
 		if c == nil {
 			break
 		}
 		if c.usable(now) {
+			c.carried = append(c.carried, hash)
 			return c, nil
 		}
 		_ = c.Close()
@@ -86,19 +89,24 @@
 		return nil, err
 	}
 	p.onOpen(address)
-	return newConn(nc), nil
+	c := newConn(nc)
+	c.carried = []uint64{hash}
+	return c, nil
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop removes the connection that became idle last; if unique is set, from those that have not carried a request with the
+// ID.
+func (p *Pool) pop(address string, id uint64, unique bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !unique || !slices.Contains(c.carried, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(address string, c *conn) {
--- a/internal/wire/httpc/reset_test.go
+++ b/internal/wire/httpc/reset_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +25,7 @@
 	complete, toWriter := 0, 0
 	for range tries {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		resp, err := NewPool().Do(ctx, s.Addr().String(), long, func(http.Header) bool { return true })
+		resp, err := NewPool().Do(ctx, s.Addr().String(), long, responseID)
 		if err != nil {
 			cancel()
 			continue
