runner: each request to an upstream has a connection of its own

Change: the sidecar's client to its upstream, on the same VM, keeps no connections. Ruled out: comparing X-Request-Id, which engines need not echo.

--- a/internal/role/runner/upstream.go
+++ b/internal/role/runner/upstream.go
@@ -42,8 +42,9 @@
 // none of the caller's are forwarded.
 type Upstream struct {
 	VM, BaseURL string
-	Client      *http.Client
-	Tracer      *telem.Tracer
+	// Client uses a connection for one request only, since answers do not name the request that they belong to.
+	Client *http.Client
+	Tracer *telem.Tracer
 	// SilenceTimeout is how long a stream may stay without data before it is resumed on a new connection.
 	SilenceTimeout time.Duration
 	// SendPriorities says that the engine accepts a priority with each request.
--- a/internal/role/runner/upstream_test.go
+++ b/internal/role/runner/upstream_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	return &Upstream{
-		VM: "vm", BaseURL: "http://" + ln.Addr().String(), Client: serve.NewClient(), Tracer: tracer,
+		VM: "vm", BaseURL: "http://" + ln.Addr().String(), Client: serve.NewClient(serve.WithSingleUse()), Tracer: tracer,
 		SilenceTimeout: 2 * time.Second,
 	}
 }
@@ -151,3 +151,49 @@
 		t.Errorf("%d of %d truncated answers count as complete", done, tries)
 	}
 }
+
+// TestRepeatedRefusalIsNotTakenForAnAnswer guards against a refusal that the upstream writes once more on a kept
+// connection and that counts for a later request, which the upstream runs. Answers bear no ID, so that no connection may
+// carry a second request.
+func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	const requests = 20
+	const refusal = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull"
+	var conns, runs atomic.Int64
+	u := newRawUpstream(t, func(c net.Conn, br *bufio.Reader) {
+		conns.Add(1)
+		for first := true; ; first = false {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if !first {
+				runs.Add(1)
+			}
+			_, _ = io.WriteString(c, refusal)
+			if !first {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+			}
+		}
+	})
+	wrong := 0
+	for i := range requests {
+		before := runs.Load()
+		last, f := runOnce(t, u, modelRequest(fmt.Sprint("m", i)))
+		refused := f != nil && f.Outcome == fault.NotRun
+		if i%2 == 1 {
+			last, _ = runOnce(t, u, serviceRequest(fmt.Sprint("s", i), "x"))
+			refused = strings.Contains(string(last.Data), "full")
+		}
+		if refused && runs.Load() > before {
+			wrong++
+		}
+	}
+	t.Logf("%d connections, %d refusals were written once more", conns.Load(), runs.Load())
+	if wrong > 0 {
+		t.Errorf("%d requests that ran got the refusal of an earlier one", wrong)
+	}
+	if conns.Load() != requests+requests/2 {
+		t.Errorf("%d requests over %d connections", requests+requests/2, conns.Load())
+	}
+}
--- a/internal/role/sidec/sidecar.go
+++ b/internal/role/sidec/sidecar.go
@@ -87,7 +87,7 @@
 		confio.WithSnapshots(c.SnapshotEveryRecords, config.Millis(c.SnapshotAgeMS)))
 	s.vms = peers.NewVMList(c.VMListURL, config.Millis(c.VMListEveryMS), s.clients.HTTP(), s.logger)
 	up := &runner.Upstream{
-		VM: c.VM, BaseURL: c.UpstreamURL, Client: serve.NewClient(), Tracer: s.tracer,
+		VM: c.VM, BaseURL: c.UpstreamURL, Client: serve.NewClient(serve.WithSingleUse()), Tracer: s.tracer,
 		SilenceTimeout: config.Millis(c.SilenceMS), SendPriorities: c.EnginePriorities,
 	}
 	s.runner = runner.NewRunner(runner.Options{
