peers: an odd entry of the VM list does not hide the others

Change: entries are decoded one by one, and their address is checked. Left: nesting beyond encoding/json's 10,000 levels makes the document unreadable; the last list read stays in force. The platform alone writes that list.

--- a/internal/role/peers/vmlist.go
+++ b/internal/role/peers/vmlist.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -102,11 +103,32 @@
 		return errors.Newf("VM list answered with status %d", resp.StatusCode)
 	}
 	var body struct {
-		VMs []VM `json:"vms"`
+		VMs []json.RawMessage `json:"vms"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
 		return errors.Wrap(err, "decode VM list")
 	}
-	l.vms.Store(&body.VMs)
+	vms := make([]VM, 0, len(body.VMs))
+	for i, raw := range body.VMs {
+		v, err := decodeVM(raw)
+		if err != nil {
+			telem.Debug(l.logger, "vm_list_entry_skipped", "entry", i, "err", err)
+			continue
+		}
+		vms = append(vms, v)
+	}
+	l.vms.Store(&vms)
 	return nil
 }
+
+// decodeVM decodes one entry of the list.
+func decodeVM(raw json.RawMessage) (VM, error) {
+	var v VM
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return VM{}, err
+	}
+	if a, err := netip.ParseAddrPort(v.Address); err != nil || a.Port() == 0 {
+		return VM{}, errors.Newf("VM %.60q: address %.60q, want an IP address and a port from 1 to 65535", v.Name, v.Address)
+	}
+	return v, nil
+}
