turns: retention counts from the last moment at which a turn's end can be told

Cause: the expiry was computed when the record was queued; the caller learns of the end when the store has it, seconds later in an outage. The class: a time that begins at one process and is counted by another one's clock. Change: the record's retention begins at the deadline of the call, the last moment at which its end can be told, and 2 s are added for the ways. Holders count it by elapsed time from when they learn of the turn, so that neither a step of the clock nor a holder whose clock is ahead shortens it; while holders follow one another a turn outlives its recorded time by 5 min at most. Records without the new field expire as they say.

--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -201,12 +201,13 @@
 		t.partition.Abort(t.reservation, t.deliveredTokens())
 		return nil
 	}
+	now := time.Now()
+	tellBy, _ := ctx.Deadline()
 	completed := turns.Turn{
 		Ref: turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, Program: t.Call.Program, Previous: t.Call.Turn.Previous,
 		Input: t.Call.Body, Output: slices.Clone(t.scan.Data()),
-		ExpiresAt: time.Now().Add(time.Duration(t.RetentionMS) * time.Millisecond).UnixMilli(),
-	}
-	ticket, err := t.partition.Finish(t.reservation, completed, t.deliveredTokens(), time.Now())
+	}.WithRetention(time.Duration(t.RetentionMS)*time.Millisecond, tellBy, now)
+	ticket, err := t.partition.Finish(t.reservation, completed, t.deliveredTokens(), now)
 	if err == nil {
 		err = t.partition.Await(ctx, ticket)
 	}
--- a/internal/role/owner/load.go
+++ b/internal/role/owner/load.go
@@ -75,7 +75,7 @@
 func (p *Partition) restore(r store.Record, notify bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.ledger.Restore(r); err != nil {
+	if err := p.ledger.Restore(r, time.Now()); err != nil {
 		p.logEvent("record_skipped", "partition", p.id, "key", r.Key, "cause", err)
 	}
 	if notify {
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -132,7 +132,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.activeTurns--
-	recs := p.ledger.Finish(b.Claim, t, tokens)
+	recs := p.ledger.Finish(b.Claim, t, tokens, now)
 	if p.lostCause != nil {
 		return 0, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
@@ -149,7 +149,7 @@
 	if p.lostCause != nil || p.closing {
 		return 0, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	recs := p.ledger.Import(ts)
+	recs := p.ledger.Import(ts, now)
 	if len(recs) == 0 {
 		return p.confirmed, nil
 	}
--- a/internal/state/turns/allowance_test.go
+++ b/internal/state/turns/allowance_test.go
@@ -50,7 +50,7 @@
 	h.unconfirmed, h.closed = nil, false
 	h.ledger = New()
 	for k, v := range h.log {
-		if err := h.ledger.Restore(store.Record{Key: k, Value: v}); err != nil {
+		if err := h.ledger.Restore(store.Record{Key: k, Value: v}, start); err != nil {
 			h.t.Fatalf("restore %q: %v", k, err)
 		}
 	}
@@ -87,7 +87,7 @@
 		h.ledger.Cancel(c, tokens)
 	default:
 		if recorded && allowed {
-			h.enqueue(h.ledger.Finish(c, turn("t", "", "in", "out"), tokens)...)
+			h.enqueue(h.ledger.Finish(c, turn("t", "", "in", "out"), tokens, h.now)...)
 			return
 		}
 		h.ledger.Cancel(c, tokens)
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -36,8 +36,11 @@
 	// Input is the caller's input. Output is the data of each event, each followed by a line feed.
 	Input  []byte `json:"-"`
 	Output []byte `json:"-"`
-	// ExpiresAt is the Unix time in milliseconds until which the turn and its chain are kept.
+	// ExpiresAt is the Unix time in milliseconds until which the turn and its chain are kept, by the clock of the holder
+	// that recorded it.
 	ExpiresAt int64 `json:"until"`
+	// KeptMS is how long a holder keeps the turn from the moment at which it learns of it. Zero means until ExpiresAt.
+	KeptMS int64 `json:"kept_ms,omitempty"`
 }
 
 // Account is the token account of one program.
@@ -63,15 +66,15 @@
 type Ledger struct {
 	turns    map[Ref]Turn
 	accounts map[Ref]Account
-	// expiresAt is the Unix time in milliseconds until which each turn is kept: the latest ExpiresAt of the turn and of
-	// all turns that continue it.
-	expiresAt map[Ref]int64
+	// keptUntil is when each turn expires here: the latest expiry of the turn and of all turns that continue it. It is
+	// compared by elapsed time, so that a step of the clock does not end a retention early.
+	keptUntil map[Ref]time.Time
 	handover
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{turns: make(map[Ref]Turn), accounts: make(map[Ref]Account), expiresAt: make(map[Ref]int64)}
+	return &Ledger{turns: make(map[Ref]Turn), accounts: make(map[Ref]Account), keptUntil: make(map[Ref]time.Time)}
 }
 
 // Claim is a request to run a turn.
@@ -193,36 +196,41 @@
 
 // Finish ends a turn whose answer is complete. The returned records make the turn durable and reserve tokens for the
 // program's next turn.
-func (l *Ledger) Finish(c Claim, t Turn, tokens int64) []store.Record {
+func (l *Ledger) Finish(c Claim, t Turn, tokens int64, now time.Time) []store.Record {
 	l.Cancel(c, tokens)
 	p := l.accounts[c.Program]
-	l.addTurn(t)
+	l.addTurn(t, now)
 	return []store.Record{encodeTurn(t), l.record(c.Program, p, p.Spent+p.Reserved+c.MaxTokens)}
 }
 
 // Import adds turns from another ledger, unless they are known already, and returns their records.
-func (l *Ledger) Import(ts []Turn) []store.Record {
+func (l *Ledger) Import(ts []Turn, now time.Time) []store.Record {
 	var out []store.Record
 	for _, t := range ts {
 		if _, ok := l.turns[t.Ref]; ok {
 			continue
 		}
-		l.addTurn(t)
+		l.addTurn(t, now)
 		out = append(out, encodeTurn(t))
 	}
 	return out
 }
 
 // addTurn adds the turn and extends the retention of its chain.
-func (l *Ledger) addTurn(t Turn) {
+func (l *Ledger) addTurn(t Turn, now time.Time) {
 	l.turns[t.Ref] = t
-	for ref := t.Ref; ; {
-		cur, ok := l.turns[ref]
-		if !ok || l.expiresAt[ref] >= t.ExpiresAt {
+	l.keepChain(t.Ref, t.keptUntil(now))
+}
+
+// keepChain keeps the turn and those that it continues at least until the given time.
+func (l *Ledger) keepChain(ref Ref, until time.Time) {
+	for ref.ID != "" {
+		t, ok := l.turns[ref]
+		if !ok || !l.keptUntil[ref].Before(until) {
 			return
 		}
-		l.expiresAt[ref] = t.ExpiresAt
-		ref = Ref{ref.Workspace, cur.Previous}
+		l.keptUntil[ref] = until
+		ref = Ref{ref.Workspace, t.Previous}
 	}
 }
 
@@ -257,7 +265,7 @@
 // Restore adds a record that an earlier holder of the partition wrote. Accounts and turns that are known already stay
 // as they are, so that turns may run before all records are restored. All accounts must be restored before the first
 // turn runs.
-func (l *Ledger) Restore(r store.Record) error {
+func (l *Ledger) Restore(r store.Record, now time.Time) error {
 	kind, ref, err := parseKey(r.Key)
 	if err != nil {
 		return err
@@ -286,22 +294,17 @@
 		return nil
 	}
 	l.turns[ref] = t
-	l.expiresAt[ref] = max(l.expiresAt[ref], t.ExpiresAt)
+	if until := t.keptUntil(now); l.keptUntil[ref].Before(until) {
+		l.keptUntil[ref] = until
+	}
 	return nil
 }
 
 // FinishRestore must be called after the last Restore. It extends the retention of chains, which Restore cannot do
 // since records may come in any order.
 func (l *Ledger) FinishRestore() {
-	for _, t := range l.turns {
-		for ref := (Ref{t.Workspace, t.Previous}); ref.ID != ""; {
-			cur, ok := l.turns[ref]
-			if !ok || l.expiresAt[ref] >= t.ExpiresAt {
-				break
-			}
-			l.expiresAt[ref] = t.ExpiresAt
-			ref = Ref{ref.Workspace, cur.Previous}
-		}
+	for ref, t := range l.turns {
+		l.keepChain(Ref{t.Workspace, t.Previous}, l.keptUntil[ref])
 	}
 }
 
@@ -310,10 +313,10 @@
 func (l *Ledger) Expire(now time.Time) []store.Record {
 	var out []store.Record
 	at := now.UnixMilli()
-	for ref, until := range l.expiresAt {
-		if until < at {
+	for ref, until := range l.keptUntil {
+		if until.Before(now) {
 			out = append(out, store.Record{Key: turnKey(l.turns[ref])})
-			delete(l.expiresAt, ref)
+			delete(l.keptUntil, ref)
 			delete(l.turns, ref)
 		}
 	}
--- a/internal/state/turns/ledger_test.go
+++ b/internal/state/turns/ledger_test.go
@@ -44,7 +44,7 @@
 	t.Helper()
 	l := New()
 	for k, v := range n {
-		if err := l.Restore(store.Record{Key: k, Value: v}); err != nil {
+		if err := l.Restore(store.Record{Key: k, Value: v}, start); err != nil {
 			t.Fatalf("restore %q: %v", k, err)
 		}
 	}
@@ -121,10 +121,10 @@
 			case 1: // The answer is incomplete.
 				l.Cancel(c, n)
 			case 2: // The holder crashes before the end of the turn is durable.
-				l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n)
+				l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n, start)
 				l = log.restore(t)
 			default:
-				log.apply(l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n)...)
+				log.apply(l.Finish(c, turn(fmt.Sprint(i), "", "in", "out"), n, start)...)
 			}
 		}
 		if handed > budget {
@@ -140,7 +140,7 @@
 	for _, tn := range []Turn{turn("a", "", "1", "x\n"), turn("b", "a", "2", "y\n"), turn("c", "a", "3", "z\n")} {
 		_, err := l.Reserve(c, start)
 		is.NoErr(err)
-		log.apply(l.Finish(c, tn, 5)...)
+		log.apply(l.Finish(c, tn, 5, start)...)
 	}
 	for _, led := range []*Ledger{l, log.restore(t)} {
 		chain, err := led.Chain(Ref{"shop", "b"})
@@ -158,7 +158,7 @@
 	c := claim(0, 10)
 	_, err := l.Reserve(c, start)
 	is.NoErr(err)
-	l.Finish(c, turn("a", "", "1", "x\n"), 5)
+	l.Finish(c, turn("a", "", "1", "x\n"), 5, start)
 	_, err = l.Chain(Ref{"rival", "a"})
 	is.True(errors.Is(err, ErrUnknownTurn))
 }
@@ -173,7 +173,7 @@
 	for _, tn := range []Turn{first, last} {
 		_, err := l.Reserve(c, start)
 		is.NoErr(err)
-		log.apply(l.Finish(c, tn, 5)...)
+		log.apply(l.Finish(c, tn, 5, start)...)
 	}
 	for _, led := range []*Ledger{l, log.restore(t)} {
 		log.apply(led.Expire(start.Add(2 * time.Minute))...)
@@ -202,7 +202,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			l := New()
-			is.True(l.Restore(tt.rec) != nil)
+			is.True(l.Restore(tt.rec, start) != nil)
 			turnCount, programs := l.Len()
 			is.Equal(turnCount+programs, 0)
 		})
@@ -215,7 +215,7 @@
 	f.Add("p/shop/p1", []byte(`{"ceiling":5}`))
 	f.Fuzz(func(_ *testing.T, key string, value []byte) {
 		l := New()
-		if l.Restore(store.Record{Key: key, Value: value}) == nil {
+		if l.Restore(store.Record{Key: key, Value: value}, start) == nil {
 			l.FinishRestore()
 		}
 	})
@@ -227,7 +227,7 @@
 	c := Claim{Program: Ref{"a/b", "p/1"}, MaxTokens: 10}
 	_, err := l.Reserve(c, start)
 	is.NoErr(err)
-	log.apply(l.Finish(c, Turn{Ref: Ref{"a/b", "t/1"}, Input: []byte("in"), ExpiresAt: start.UnixMilli()}, 5)...)
+	log.apply(l.Finish(c, Turn{Ref: Ref{"a/b", "t/1"}, Input: []byte("in"), ExpiresAt: start.UnixMilli()}, 5, start)...)
 	chain, err := log.restore(t).Chain(Ref{"a/b", "t/1"})
 	is.NoErr(err)
 	is.Equal(len(chain), 1)
@@ -257,10 +257,10 @@
 	l := New()
 	c := claim(300, 100)
 	old := encodeAccount(c.Program, Account{Ceiling: 100, ExpiresAt: start.UnixMilli()})
-	is.NoErr(l.Restore(old))
+	is.NoErr(l.Restore(old, start))
 	_, err := l.Reserve(c, start)
 	is.NoErr(err)
-	is.NoErr(l.Restore(old)) // A page that was read in part is read again.
+	is.NoErr(l.Restore(old, start)) // A page that was read in part is read again.
 	_, err = l.Reserve(c, start)
 	is.NoErr(err)
 	_, err = l.Reserve(c, start)
