owner: a change that the store can never accept fails alone

Cause: every refusal but a fence was taken for an outage and repeated, and a change was one append whatever its size. Change: a change is divided into batches that fit the store's limits, which now come from its settings (append_bytes); a chain becomes durable oldest turn first, so it is found only as a whole. Turns that cannot fit a record are refused before they are queued, with 413 and the sizes.

--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -25,6 +25,8 @@
 	Partitions int64 `json:"partitions"`
 	// RecordBytes is the maximum size of a record in the log. The input and the response of a turn share one record.
 	RecordBytes int64 `json:"record_bytes"`
+	// AppendBytes is the maximum size of all records of one append to the log.
+	AppendBytes int64 `json:"append_bytes"`
 	// FirstStart reports that the deployment starts for the first time, so that an empty log is expected.
 	FirstStart bool `json:"first_start"`
 	// MemoryMB bounds the memory of the process in megabytes.
@@ -41,7 +43,7 @@
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
-		Partitions: 12, RecordBytes: 256 << 10, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
+		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
 	}
 }
 
@@ -61,6 +63,7 @@
 	errs = append(errs, checkAddress("log_address", g.LogAddress)...)
 	errs = append(errs, checkMin("partitions", g.Partitions, 1)...)
 	errs = append(errs, checkMin("record_bytes", g.RecordBytes, 16<<10)...)
+	errs = append(errs, checkMin("append_bytes", g.AppendBytes, g.RecordBytes)...)
 	errs = append(errs, checkMin("memory_mb", g.MemoryMB, 32)...)
 	errs = append(errs, checkMin("max_connections", g.MaxConnections, 1)...)
 	errs = append(errs, checkMin("stop_ms", g.StopMS, 0)...)
--- a/internal/role/gate/chain.go
+++ b/internal/role/gate/chain.go
@@ -10,6 +10,7 @@
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/role/owner"
+	"galenaward.example/galenaward/internal/state/store"
 	"galenaward.example/galenaward/internal/state/turns"
 )
 
@@ -67,6 +68,9 @@
 	if err == nil {
 		err = p.Await(ctx, ticket)
 	}
+	if errors.Is(err, owner.ErrRecordTooLarge) || errors.Is(err, store.ErrInvalid) {
+		return g.refuse(fault.BodyTooLarge, "history", "the store cannot hold the turns before this one: %v", err)
+	}
 	if err != nil {
 		return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(shortRetry)
 	}
--- a/internal/role/gate/crashfeed.go
+++ b/internal/role/gate/crashfeed.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"galenaward.example/galenaward/internal/sched/crash"
 	"galenaward.example/galenaward/internal/state/store"
 )
@@ -88,11 +90,17 @@
 				return nil
 			}
 		}
+		part := store.Divide(records, int(g.settings.AppendBytes))[0]
 		pctx, cancel := context.WithTimeout(ctx, publishTimeout)
-		err := g.store.Publish(pctx, store.Crashes, records)
+		err := g.store.Publish(pctx, store.Crashes, part)
 		cancel()
+		if errors.Is(err, store.ErrInvalid) {
+			g.logEvent("crashes_rejected", "records", len(part), "cause", err)
+			g.tellCrashes(ctx, part)
+			err = nil // A repeat would be rejected too, and block the records behind these.
+		}
 		if err == nil {
-			g.suspects.confirmPublished(records)
+			g.suspects.confirmPublished(part)
 			clear(notified)
 			continue
 		}
@@ -101,9 +109,7 @@
 				notified[r.Key] = true
 			}
 			g.logEvent("crashes_unpublished", "records", len(unsent), "peers", len(g.owner.Peers()), "cause", err)
-			if err := notifyPeers(ctx, g, crashPath, crashNotice{unsent}); err != nil {
-				g.logEvent("crash_not_told", "records", len(unsent), "cause", err)
-			}
+			g.tellCrashes(ctx, unsent)
 		}
 		select {
 		case <-time.After(publishRetryInterval):
@@ -113,6 +119,12 @@
 	}
 }
 
+func (g *Gateway) tellCrashes(ctx context.Context, records []store.Record) {
+	if err := notifyPeers(ctx, g, crashPath, crashNotice{records}); err != nil {
+		g.logEvent("crash_not_told", "records", len(records), "cause", err)
+	}
+}
+
 // sweepCrashes removes expired records from the store. Only the owner of sweepPartition does so.
 func (g *Gateway) sweepCrashes(now time.Time) {
 	if _, ok := g.owner.HeldPartition(sweepPartition); !ok || !g.suspects.sweepDue(now) {
--- a/internal/role/gate/fallbackstore.go
+++ b/internal/role/gate/fallbackstore.go
@@ -112,6 +112,7 @@
 	{"sequence", store.ErrSequence},
 	{"compacted", store.ErrCompacted},
 	{"refused", store.ErrRefused},
+	{"invalid", store.ErrInvalid},
 	{"unknown", store.ErrOutcomeUnknown},
 }
 
@@ -156,7 +157,8 @@
 
 // isDefinite reports whether the result comes from the store itself, as opposed to a failure to reach it.
 func isDefinite(err error) bool {
-	return err == nil || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || errors.Is(err, store.ErrCompacted)
+	return err == nil || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) ||
+		errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrInvalid)
 }
 
 // route returns the key of the part of the store that the call reaches.
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -102,6 +102,7 @@
 	fallback := newFallbackStore(d.Store, gt.peers, gt.peerAddresses, gt.logEvent)
 	gt.store = fallback
 	gt.owner = owner.New(g, fallback, int(s.Partitions), s.ListenPeers,
+		owner.WithLimits(owner.Limits{RecordBytes: int(s.RecordBytes), AppendBytes: int(s.AppendBytes)}),
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -18,7 +18,7 @@
 	// maxStreamBytes bounds the answer to a turn, which is kept in memory until the caller has read it.
 	maxStreamBytes = 1 << 20
 	// recordOverhead is the space in a turn's record for IDs and lengths.
-	recordOverhead = 4 << 10
+	recordOverhead = 6 << 10
 	// minTimedEvents is the number of events from which a stream's duration is used to measure its engine.
 	minTimedEvents = 3
 )
--- a/internal/role/owner/append.go
+++ b/internal/role/owner/append.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxAppendBytes limits the size of one append; the store accepts 2 MB. A single larger batch is still sent.
-	maxAppendBytes = 1 << 20
+	// preferredAppendBytes limits the size of one append, also where the store accepts larger ones.
+	preferredAppendBytes = 1 << 20
+	// maxRejected bounds the rejected batches that are remembered for callers that wait for them.
+	maxRejected = 256
 	// batchDelay is how long an append waits for more records, to reduce the number of calls of a busy partition.
 	batchDelay = 4 * time.Millisecond
 	// appendRetryDelay is the time between two attempts of an append.
@@ -45,13 +47,18 @@
 			if batches == 0 {
 				break
 			}
-			if err := p.append(ctx, recs); err != nil {
+			err := p.append(ctx, recs)
+			switch {
+			case err == nil:
+				p.confirmBatches(batches)
+			case errors.Is(err, store.ErrInvalid):
+				p.separate(batches, err)
+			default:
 				if ctx.Err() == nil {
 					p.markLost(err)
 				}
 				return nil
 			}
-			p.confirmBatches(batches)
 		}
 	}
 }
@@ -61,19 +68,60 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	size := 0
-	for _, batch := range p.queue {
-		for _, r := range batch {
-			size += len(r.Key) + len(r.Value)
-		}
-		if batches > 0 && size > maxAppendBytes {
+	for _, b := range p.queue {
+		size += b.size
+		if batches > 0 && (size > p.appendLimit() || p.separated > 0) {
 			break
 		}
-		recs = append(recs, batch...)
+		recs = append(recs, b.records...)
 		batches++
 	}
 	return recs, batches
 }
 
+// appendLimit returns the maximum size of the records of one append.
+func (p *Partition) appendLimit() int { return min(preferredAppendBytes, p.limits.AppendBytes) }
+
+// separate handles an append that the store can never accept. The batches that it combined are appended one by one, so
+// that the others succeed; a single batch is rejected.
+func (p *Partition) separate(batches int, cause error) {
+	if batches == 1 {
+		p.rejectBatch(cause)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.separated = batches
+}
+
+// rejectBatch removes the oldest batch from the queue, with the rest of the change that it is part of, and undoes it in
+// the ledger. Callers that wait for the change receive the cause.
+func (p *Partition) rejectBatch(cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ticket, records, size, batches := p.queue[0].ticket, 0, 0, 0
+	for batches < len(p.queue) && p.queue[batches].ticket == ticket {
+		b := p.queue[batches]
+		p.ledger.Reject(b.records)
+		records, size, batches = records+len(b.records), size+b.size, batches+1
+	}
+	if len(p.rejected) >= maxRejected {
+		clear(p.rejected)
+	}
+	p.rejected[ticket] = cause
+	p.logEvent("append_rejected", "partition", p.id, "epoch", p.epoch, "records", records, "bytes", size, "cause", cause)
+	p.dequeue(batches)
+}
+
+// dequeue removes the oldest batches, which are settled, from the queue. The caller holds the lock.
+func (p *Partition) dequeue(batches int) {
+	p.queue = p.queue[batches:]
+	p.confirmed += int64(batches)
+	p.separated = max(0, p.separated-batches)
+	p.pendingSince = time.Now()
+	p.notifyWaiters()
+}
+
 // append retries until the store has taken the records, another writer holds the partition, or ctx ends.
 func (p *Partition) append(ctx context.Context, recs []store.Record) error {
 	p.sequence++
@@ -87,6 +135,9 @@
 			}
 			return nil
 		}
+		if errors.Is(err, store.ErrInvalid) {
+			p.sequence-- // The store did not use the number.
+		}
 		if isFinalAppend(err) || ctx.Err() != nil {
 			return err
 		}
@@ -116,7 +167,8 @@
 
 // isFinalAppend reports whether the result of an append comes from the store and a repeat would not change it.
 func isFinalAppend(err error) bool {
-	return err == nil || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence)
+	return err == nil || errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) ||
+		errors.Is(err, store.ErrInvalid)
 }
 
 // appendOnce makes one attempt of an append.
@@ -136,11 +188,8 @@
 func (p *Partition) confirmBatches(batches int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, batch := range p.queue[:batches] {
-		p.ledger.Confirm(batch)
+	for _, b := range p.queue[:batches] {
+		p.ledger.Confirm(b.records)
 	}
-	p.queue = p.queue[batches:]
-	p.confirmed += int64(batches)
-	p.pendingSince = time.Now()
-	p.notifyWaiters()
+	p.dequeue(batches)
 }
--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -151,7 +151,7 @@
 // writer holds the partition or ctx ends.
 func (o *Owner) fencePartition(ctx context.Context, id int, epoch int64) *Partition {
 	for ctx.Err() == nil {
-		p := newPartition(id, epoch, o.store, &o.timeouts, o.logEvent)
+		p := newPartition(id, epoch, o.store, &o.timeouts, o.limits, o.logEvent)
 		err := p.fence(ctx)
 		if err == nil {
 			return p
--- a/internal/role/owner/epoch_test.go
+++ b/internal/role/owner/epoch_test.go
@@ -98,7 +98,7 @@
 
 func (m *openingsModel) openUnder(o *modelMember, generation int64) {
 	o.open = nil
-	p := newPartition(0, o.nextEpoch(0, generation), m.store, &o.timeouts, o.logEvent)
+	p := newPartition(0, o.nextEpoch(0, generation), m.store, &o.timeouts, o.limits, o.logEvent)
 	if p.fence(m.t.Context()) == nil {
 		o.open = p
 	}
--- a/internal/role/owner/fakestore_test.go
+++ b/internal/role/owner/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,13 @@
 	appends                  int
 	// failing holds the partitions to which no appends are taken.
 	failing []int
+	// unavailableAt is the number of appends after which the store becomes unavailable; 0 for never.
+	unavailableAt int
+	// callBytes limits the records of one append; 0 for no limit. Records whose key contains invalidKey are never accepted.
+	callBytes  int
+	invalidKey string
+	// invalidCalls counts the appends that were rejected for good.
+	invalidCalls int
 	// refuseLeave makes Leave fail without effect.
 	refuseLeave bool
 	// joinDelay is how long a Join call takes to reach the store.
@@ -75,6 +83,10 @@
 	if f.unavailable || slices.Contains(f.failing, id) {
 		return errors.Wrap(store.ErrRefused, "down")
 	}
+	if f.invalid(records) {
+		f.invalidCalls++
+		return errors.Wrap(store.ErrInvalid, "size")
+	}
 	p := f.partition(id)
 	switch {
 	case fe.Epoch < p.epoch:
@@ -91,6 +103,7 @@
 	if len(records) > 0 && fe.Sequence == p.sequence+1 {
 		p.sequence++
 		f.appends++
+		f.unavailable = f.appends == f.unavailableAt
 		for _, r := range records {
 			if len(r.Value) == 0 {
 				delete(p.newest, r.Key)
@@ -105,6 +118,18 @@
 	return nil
 }
 
+// invalid reports whether the store can never accept the records in one append. The caller holds the lock.
+func (f *fakeStore) invalid(records []store.Record) bool {
+	size := 0
+	for _, r := range records {
+		size += 5 + len(r.Key) + len(r.Value)
+		if f.invalidKey != "" && strings.Contains(r.Key, f.invalidKey) && len(r.Value) > 0 {
+			return true
+		}
+	}
+	return f.callBytes > 0 && size > f.callBytes
+}
+
 func (f *fakeStore) ReadNewest(_ context.Context, id int, after string, take func(store.Record)) (store.Page, error) {
 	const pageRecords = 3
 	f.mu.Lock()
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -67,6 +67,7 @@
 	store      Store
 	partitions int
 	member     string
+	limits     Limits
 	logEvent   func(event string, kv ...any)
 	// isolated reports whether this process is cut off from the store while its peers reach it.
 	isolated func() bool
@@ -116,10 +117,13 @@
 // peers reach it. While that is so, the owner releases its partitions and stays out of the group.
 func WithIsolationCheck(f func() bool) Option { return func(o *Owner) { o.isolated = f } }
 
+// WithLimits sets the limits of the store.
+func WithLimits(l Limits) Option { return func(o *Owner) { o.limits = l } }
+
 // New returns an Owner that holds no partitions yet. Peers reach this process at address.
 func New(g *group.Group, s Store, partitions int, address string, opts ...Option) *Owner {
 	o := &Owner{
-		store: s, partitions: partitions, group: g,
+		store: s, partitions: partitions, group: g, limits: DefaultLimits(),
 		member:   address + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		logEvent: func(string, ...any) {}, isolated: func() bool { return false }, held: make(map[int]*Partition),
 		cancels: make(map[int]context.CancelFunc), epochs: make(map[int]int64), holders: make(map[int]string),
--- a/internal/role/owner/owner_test.go
+++ b/internal/role/owner/owner_test.go
@@ -128,7 +128,7 @@
 		is.NoErr(err)
 
 		b := New(a.group, f, 1, "127.0.0.1:8")
-		next := newPartition(0, b.nextEpoch(0, 99), f, &b.timeouts, b.logEvent)
+		next := newPartition(0, b.nextEpoch(0, 99), f, &b.timeouts, b.limits, b.logEvent)
 		is.NoErr(next.fence(t.Context()))
 		next.load(t.Context(), func() {})
 
--- a/internal/role/owner/partition.go
+++ b/internal/role/owner/partition.go
@@ -14,6 +14,8 @@
 var (
 	// ErrMoved means that another process holds the partition or is about to take it over.
 	ErrMoved = errors.New("partition moved to another process")
+	// ErrRecordTooLarge means that a change needs a record that the store can never accept.
+	ErrRecordTooLarge = errors.New("record exceeds the store's limit")
 	// ErrStoreUnavailable means that the store is not confirming appends, so that a turn could not be made durable.
 	ErrStoreUnavailable = errors.New("store is not confirming appends")
 )
@@ -37,11 +39,16 @@
 
 	mu     sync.Mutex
 	ledger *turns.Ledger
-	// queue holds the unconfirmed batches of records, oldest first. The ledger is told when they are confirmed.
-	queue [][]store.Record
-	// submitted and confirmed count batches; submitted >= confirmed. A batch's ticket is the value of submitted after
-	// it.
+	limits Limits
+	// queue holds the unsettled batches of records, oldest first. The ledger is told when they are settled.
+	queue []batch
+	// submitted counts the batches that were queued, confirmed those of them that are settled; submitted >= confirmed. A
+	// change's ticket is the value of submitted after its last batch.
 	submitted, confirmed int64
+	// rejected holds, by ticket, why the store rejected changes.
+	rejected map[int64]error
+	// separated is the number of batches that are appended one by one, since the store rejected them together.
+	separated int
 	// pendingSince is when the queue last became non-empty or a batch was last confirmed.
 	pendingSince time.Time
 	// stateChanged is closed and replaced whenever callers of waitFor have to check their condition again.
@@ -65,10 +72,11 @@
 }
 
 func newPartition(
-	id int, epoch int64, log store.Log, timeouts *adaptiveTimeout, logEvent func(string, ...any),
+	id int, epoch int64, log store.Log, timeouts *adaptiveTimeout, limits Limits, logEvent func(string, ...any),
 ) *Partition {
 	return &Partition{
-		id: id, epoch: epoch, log: log, timeouts: timeouts, logEvent: logEvent, ledger: turns.New(),
+		id: id, epoch: epoch, log: log, timeouts: timeouts, limits: limits, logEvent: logEvent, ledger: turns.New(),
+		rejected:     make(map[int64]error),
 		stateChanged: make(chan struct{}), queued: make(chan struct{}, 1), programTickets: make(map[turns.Ref]int64),
 	}
 }
@@ -149,9 +157,14 @@
 	if p.lostCause != nil || p.closing {
 		return 0, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
+	for _, t := range ts {
+		if n := t.RecordBytes(); n > p.limits.RecordBytes {
+			return 0, errors.Wrapf(ErrRecordTooLarge, "turn %q: %d bytes, limit %d", t.ID, n, p.limits.RecordBytes)
+		}
+	}
 	recs := p.ledger.Import(ts, now)
 	if len(recs) == 0 {
-		return p.confirmed, nil
+		return p.submitted, nil // The turns may have been imported by a change that is not confirmed yet.
 	}
 	return p.enqueue(recs, now), nil
 }
@@ -200,13 +213,18 @@
 	return p.initiallyEmpty
 }
 
-// enqueue queues a batch of records and returns its ticket. The caller holds the lock.
+// enqueue queues the records of a change and returns its ticket. A change that exceeds the limit of an append is divided
+// into several batches, which become durable in their order. The caller holds the lock.
 func (p *Partition) enqueue(recs []store.Record, now time.Time) int64 {
 	if p.submitted == p.confirmed {
 		p.pendingSince = now
 	}
-	p.queue = append(p.queue, recs)
-	p.submitted++
+	batches := batchesOf(recs, p.appendLimit())
+	p.submitted += int64(len(batches))
+	for i := range batches {
+		batches[i].ticket = p.submitted
+	}
+	p.queue = append(p.queue, batches...)
 	select {
 	case p.queued <- struct{}{}:
 	default:
@@ -220,6 +238,7 @@
 	return !c.Recorded && p.ledger.Allowed(c, now)
 }
 
+// storeUnavailable reports whether the store has not settled an append for unavailableAfter.
 func (p *Partition) storeUnavailable(now time.Time) bool {
 	return p.submitted > p.confirmed && now.Sub(p.pendingSince) > unavailableAfter
 }
@@ -231,9 +250,18 @@
 	return p.lostCause == nil && p.submitted > p.confirmed && now.Sub(p.pendingSince) > stalledAfter
 }
 
-// Await waits until the batch with the ticket is confirmed. It returns ErrMoved if the partition is lost first.
+// Await waits until the change with the ticket is durable. It returns ErrMoved if the partition is lost first, and
+// store.ErrInvalid if the store rejected the change.
 func (p *Partition) Await(ctx context.Context, ticket int64) error {
-	return p.waitFor(ctx, func() bool { return p.confirmed >= ticket })
+	var rejected error
+	err := p.waitFor(ctx, func() bool {
+		rejected = p.rejected[ticket]
+		return p.confirmed >= ticket
+	})
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(rejected, "partition %d", p.id)
 }
 
 // waitFor waits until condition, which is called under the lock, returns true. It returns ErrMoved if the partition is
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -18,6 +18,8 @@
 	ErrCompacted = errors.New("records were compacted")
 	// ErrRefused means that the store refused the call and did nothing.
 	ErrRefused = errors.New("refused by the store")
+	// ErrInvalid means that the store can never accept the call as it is, and did nothing.
+	ErrInvalid = errors.New("invalid for the store")
 	// ErrOutcomeUnknown means that the outcome is unknown: no answer arrived, and the call may have taken effect or may
 	// still take effect.
 	ErrOutcomeUnknown = errors.New("no answer from the store")
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -186,6 +186,29 @@
 	}
 }
 
+// Reject undoes records that this ledger returned and that the store can never accept. It must be called in their order.
+// Tokens that were counted as spent stay so.
+func (l *Ledger) Reject(records []store.Record) {
+	for _, r := range records {
+		kind, ref, err := parseKey(r.Key)
+		switch {
+		case err != nil || len(r.Value) == 0:
+		case kind == turnKind:
+			delete(l.turns, ref)
+			delete(l.keptUntil, ref)
+		case kind == programKind:
+			if p, ok := l.accounts[ref]; ok && len(p.pending) > 0 {
+				p.pending = p.pending[1:]
+				p.Ceiling = p.Confirmed
+				if n := len(p.pending); n > 0 {
+					p.Ceiling = p.pending[n-1]
+				}
+				l.accounts[ref] = p
+			}
+		}
+	}
+}
+
 // Cancel ends a turn whose answer is incomplete and which used the given number of tokens.
 func (l *Ledger) Cancel(c Claim, tokens int64) {
 	p := l.accounts[c.Program]
--- a/internal/state/turns/record.go
+++ b/internal/state/turns/record.go
@@ -103,6 +103,12 @@
 	return store.Record{Key: turnKey(t), Value: v}
 }
 
+// RecordBytes returns the size of the turn's record with its key.
+func (t Turn) RecordBytes() int {
+	r := encodeTurn(t)
+	return len(r.Key) + len(r.Value) + 1
+}
+
 func decodeTurn(r Ref, b []byte) (Turn, error) {
 	meta, rest, err := cutLengthPrefixed(b)
 	if err != nil {
