gate: a rate is allocated under a lease

Cause: an assignment counted until a heartbeat was answered without it. A process that gets no answer kept it for ever, though the store gives it to another member 1.5 s after the last heartbeat that arrived. Change: assignments are held under a lease that ends 1.5 s after the last answered heartbeat was sent, by elapsed time. Without it nothing is allocated, and tokens that accrue after its end are not granted. A lease that ended and is renewed is a new one: the allocator starts with nothing. So that workspaces are served while the store is away for everybody, the lease is extended by 0.3 s at a time as long as every known peer (holders, and gateways that borrowed) says that none of the partitions is its own; one that does not answer ends it, one that is not running does not. A peer that is assigned one right after its answer grants nothing for 0.35 s.

--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -116,6 +116,7 @@
 	g.Go(gt.followCrashes)
 	g.Go(gt.publishCrashes)
 	g.Go(gt.housekeeping)
+	g.Go(gt.keepLease)
 	return gt, nil
 }
 
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,7 @@
 	pokePath    = "/v1/poke"
 	crashPath   = "/v1/crash"
 	failingPath = "/v1/failing"
+	assignPath  = "/v1/assigned"
 )
 
 const (
@@ -118,6 +120,8 @@
 type (
 	borrowRequest struct {
 		Workspace string `json:"workspace"`
+		// From is the peer address of the gateway that asks.
+		From string `json:"from,omitempty"`
 		rate.TokenRequest
 	}
 	chainRequest struct {
@@ -189,6 +193,9 @@
 		g.roster.RecordPeerFailure(n.Instance, n.Incarnation, time.Now())
 		return struct{}{}, nil
 	}))
+	mux.Handle("POST "+assignPath, jsonHandler(g, func(_ context.Context, q assignedRequest) (assignedAnswer, error) {
+		return assignedAnswer{slices.ContainsFunc(q.Partitions, g.owner.Assigned)}, nil
+	}))
 	mux.Handle("POST "+storePath, jsonHandler(g, func(ctx context.Context, q storeRequest) (storeResponse, error) {
 		return g.storeForPeer(ctx, direct, q), nil
 	}))
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	mu         sync.Mutex
 	buckets    map[string]*workspaceBucket
 	allocators map[string]*allocatorState
+	// borrowers is when each gateway last asked this allocator for tokens, by peer address.
+	borrowers map[string]time.Time
 }
 
 // workspaceBucket is the local state of one workspace's rate, or of its plan for starting programs.
@@ -56,13 +59,38 @@
 // allocatorState is a rate for which this process is the allocator.
 type allocatorState struct {
 	allocator rate.Allocator
-	// since is when the store assigned the workspace's partition to this process. If the partition was owned by another
-	// process in between, the allocator starts afresh.
+	// since is since when this process has held the lease on the workspace's partition. If another process may have held
+	// it in between, the allocator starts afresh.
 	since time.Time
+	// grantedAt is when the allocator last decided on a request.
+	grantedAt time.Time
 }
 
 func newRates(g *Gateway) *rates {
-	return &rates{gateway: g, buckets: make(map[string]*workspaceBucket), allocators: make(map[string]*allocatorState)}
+	return &rates{
+		gateway: g, buckets: make(map[string]*workspaceBucket), allocators: make(map[string]*allocatorState),
+		borrowers: make(map[string]time.Time),
+	}
+}
+
+// allocated returns the partitions whose rates this process has allocated lately, and the gateways that borrowed.
+func (r *rates) allocated(now time.Time) (partitions []int, borrowers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, al := range r.allocators {
+		p := r.allocatorPartition(name)
+		if now.Sub(al.grantedAt) < allocatorIdle && r.gateway.owner.Assigned(p) && !slices.Contains(partitions, p) {
+			partitions = append(partitions, p)
+		}
+	}
+	for address, at := range r.borrowers {
+		if now.Sub(at) > borrowerTTL {
+			delete(r.borrowers, address)
+			continue
+		}
+		borrowers = append(borrowers, address)
+	}
+	return partitions, borrowers
 }
 
 // admitProgram takes the tokens that a new program is expected to need from the workspace's plan, so that new programs
@@ -248,7 +276,7 @@
 	}
 	asked := time.Now()
 	workspace, forPrograms := strings.CutPrefix(name, planPrefix)
-	q := borrowRequest{Workspace: workspace}
+	q := borrowRequest{Workspace: workspace, From: r.gateway.settings.ListenPeers}
 	r.mu.Lock()
 	s := r.bucket(name)
 	s.borrower, q.TokenRequest = s.borrower.NextRequest(int64(partition), asked)
@@ -319,7 +347,7 @@
 
 // grantTokens handles a borrow request if this process is the allocator of the workspace's rate.
 func (g *Gateway) grantTokens(_ context.Context, q borrowRequest) (rate.Grant, error) {
-	since, ok := g.owner.AssignedSince(g.rates.allocatorPartition(q.Workspace))
+	since, until, ok := g.owner.LeasedSince(g.rates.allocatorPartition(q.Workspace))
 	if !ok {
 		return rate.Grant{}, g.refuse(fault.ProgramMoved, "borrow",
 			"this process does not allocate the rate of workspace %q", q.Workspace)
@@ -330,7 +358,14 @@
 	}
 	p, held := g.owner.HeldPartition(g.rates.allocatorPartition(q.Workspace))
 	first := held && p.WasEmpty() && g.settings.FirstStart
-	return g.rates.grant(since, first, w, q.TokenRequest), nil
+	g.rates.recordBorrower(q.From)
+	return g.rates.grant(since, first, w, q.TokenRequest.WithinLease(time.Until(until))), nil
+}
+
+func (r *rates) recordBorrower(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.borrowers[address] = time.Now()
 }
 
 // grant decides on a request as the allocator since the given time. First means that the rate never had another
@@ -353,6 +388,7 @@
 		al = &allocatorState{allocator: rate.NewAllocator(quota, level, now), since: since}
 		r.allocators[w.Name] = al
 	}
+	al.grantedAt = now
 	var g rate.Grant
 	al.allocator, g = al.allocator.WithQuota(quota).Grant(a, now)
 	return g
--- a/internal/role/owner/heartbeat.go
+++ b/internal/role/owner/heartbeat.go
@@ -88,6 +88,7 @@
 	if leaving {
 		return generation, a, errLeaving
 	}
+	sent := time.Now()
 	a, err = overlapping[store.Assignment]{
 		interval: func(int) time.Duration { return o.timeouts.timeout() },
 		attempt: func(ctx context.Context) (store.Assignment, error) {
@@ -95,5 +96,8 @@
 		},
 		final: func(err error) bool { return err == nil },
 	}.call(ctx)
+	if err == nil {
+		o.renewLease(sent, a)
+	}
 	return generation, a, err
 }
--- a/internal/role/owner/owner.go
+++ b/internal/role/owner/owner.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"galenaward.example/galenaward/internal/plat/group"
+	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/store"
 )
 
@@ -81,6 +82,8 @@
 	cancels map[int]context.CancelFunc
 	// epochs holds the epoch of the last opening of each partition by this process. An epoch is never used twice.
 	epochs map[int]int64
+	// lease covers the partitions in assignedSince: until it expires, the store gives them to no other member.
+	lease rate.Lease
 	// assignedSince is when the store assigned each partition to this process, whether it is open yet or not.
 	assignedSince map[int]time.Time
 	// holders maps each partition to the member that holds it, as last reported by the store.
@@ -150,13 +153,13 @@
 	return p, ok
 }
 
-// AssignedSince returns when the store assigned the partition to this process. The partition may not be open yet, so
-// use this only for state that is not stored in it.
-func (o *Owner) AssignedSince(id int) (since time.Time, ok bool) {
+// Assigned reports whether the store assigned the partition to this process, as far as it knows. Its lease may have
+// ended, and the partition may not be open yet.
+func (o *Owner) Assigned(id int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	since, ok = o.assignedSince[id]
-	return since, ok
+	_, ok := o.assignedSince[id]
+	return ok
 }
 
 // HeldPartitions returns all partitions that HeldPartition would return.
--- a/internal/sched/rate/allocator.go
+++ b/internal/sched/rate/allocator.go
@@ -49,6 +49,17 @@
 	Returned float64 `json:"returned,omitempty"`
 }
 
+// WithinLease returns the request for an allocator whose lease ends after the given time. Tokens that become available
+// later are not granted, since a successor grants what accrues from then on. Loans may outlive the lease: their tokens
+// have accrued before, and a successor starts with none.
+func (r TokenRequest) WithinLease(left time.Duration) TokenRequest {
+	limit := max(1, millis(left))
+	if r.MaxWaitMS <= 0 || r.MaxWaitMS > limit {
+		r.MaxWaitMS = limit
+	}
+	return r
+}
+
 // maxWait returns how long a call may wait, at most limit.
 func (r TokenRequest) maxWait(limit time.Duration) time.Duration {
 	if r.MaxWaitMS <= 0 {
--- a/internal/sched/rate/lease.go
+++ b/internal/sched/rate/lease.go
@@ -42,6 +42,9 @@
 // Valid reports whether the slot may be used.
 func (l Lease) Valid(now time.Time) bool { return now.Before(l.expires) }
 
+// Expires returns when the lease ends unless it is renewed.
+func (l Lease) Expires() time.Time { return l.expires }
+
 // Since returns the start of the current uninterrupted period in which the lease was held.
 func (l Lease) Since() time.Time { return l.heldSince }
 
