gate: a home that does not know a turn's workspace refuses the turn

Cause: an unknown workspace was taken for one without a rate. Change: such a turn is refused as not run, to be tried again. Routes without keys have no workspace and are not affected.

--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -11,6 +11,7 @@
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/admit"
+	"galenaward.example/galenaward/internal/state/layout"
 	"galenaward.example/galenaward/internal/state/turns"
 	"galenaward.example/galenaward/internal/wire/events"
 )
@@ -33,6 +34,8 @@
 	partition   *owner.Partition
 	reservation owner.AdmittedTurn
 	out         sink
+	// workspace has the rate that the turn counts against.
+	workspace layout.Workspace
 	// scan parses the events that were passed on.
 	scan events.Scanner
 	// partialEvent holds the bytes of an incomplete event if the stream can be resumed at another engine.
@@ -54,13 +57,16 @@
 	if f := g.checkQuarantine(a.job); f != nil {
 		return f
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, partition: p, out: out}
+	w, f := g.workspaceOf(q)
+	if f != nil {
+		return f
+	}
+	t := &turnExecution{turnRequest: q, gateway: g, partition: p, out: out, workspace: w}
 	if f := t.begin(ctx); f != nil {
 		return f
 	}
-	w, _ := g.layout.Load().Workspace(q.Workspace)
 	started := false
-	f := g.withRateToken(ctx, w, func() *fault.Fault {
+	f = g.withRateToken(ctx, w, func() *fault.Fault {
 		started = true
 		return t.run(ctx, a)
 	})
@@ -70,6 +76,16 @@
 	return f
 }
 
+// workspaceOf returns the workspace of the turn. A process that does not know it cannot tell its rate, and refuses the turn:
+// it has no configuration yet, or a newer or older one than the gateway that took the request.
+func (g *Gateway) workspaceOf(q *turnRequest) (layout.Workspace, *fault.Fault) {
+	w, ok := g.layout.Load().Workspace(q.Workspace)
+	if !ok && q.Workspace != "" {
+		return w, g.refuse(fault.Unready, "rate", "workspace %q is unknown", q.Workspace).WithRetryAfter(notReadyRetry)
+	}
+	return w, nil
+}
+
 // run sends the turn to engines until one has answered it.
 func (t *turnExecution) run(ctx context.Context, a *attempts) *fault.Fault {
 	g, q := t.gateway, t.turnRequest
@@ -186,8 +202,7 @@
 	a := admit.Request{Priority: q.Priority, TimeLeft: left, TotalTime: g.initialTimeLeft.getOrAdd(q.program(), left)}
 	ok, retryAfter := g.policy.Admit(usage, a)
 	if ok {
-		w, _ := g.layout.Load().Workspace(q.Workspace)
-		return g.rates.admitProgram(ctx, w)
+		return g.rates.admitProgram(ctx, t.workspace)
 	}
 	g.metrics.Add("programs_refused", 1)
 	return g.refuse(fault.Overloaded, "begin",
