gate: what one gateway learns from an answer, others learn

Cause: only the process that read the upstream's answer learned from it; the one that passed it on did not look, and nobody told peers. Change: the parts of an answer between gateways name the upstream that leaves, so whoever passes the answer on knows first. And one way for such news: leaving and failing upstreams and crashes go to all known peers (holders, and gateways that borrowed) in one message, at most every 50 ms a peer, four attempts within two seconds, at most 4,096 items of a kind waiting. It takes the place of the two messages that were sent once and to holders only. Slowness is not told: each gateway measures its own way to an upstream. Notices name the start of the upstream, so that they never concern another one. Gateways of the build before answer 404 to the new message, which is logged as news_not_told.

--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -122,23 +122,11 @@
 		g.logEvent("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
 			"fingerprint", hex(f), "crashes", known)
 		if known >= notifyCrashes {
-			g.notifyCrashesAsync(f)
+			g.tell(news{Crashes: g.suspects.crashRecords(f, time.Now())})
 		}
 	}
 }
 
-// notifyCrashesAsync tells peers in the background of all known crashes of a request that has crashed several
-// upstreams.
-func (g *Gateway) notifyCrashesAsync(fingerprint uint64) {
-	records := g.suspects.crashRecords(fingerprint, time.Now())
-	g.group.Go(func(ctx context.Context) error {
-		if err := notifyPeers(ctx, g, crashPath, crashNotice{records}); err != nil {
-			g.logEvent("crash_not_told", "fingerprint", hex(fingerprint), "records", len(records), "cause", err)
-		}
-		return nil
-	})
-}
-
 // clearCrashes removes the crashes recorded for a request that was answered in full. Responses with a status of 500 or
 // above don't count, since the upstream may not have run the request.
 func (g *Gateway) clearCrashes(j *job, u roster.Upstream, status int) {
--- a/internal/role/gate/crashfeed.go
+++ b/internal/role/gate/crashfeed.go
@@ -96,7 +96,7 @@
 		cancel()
 		if errors.Is(err, store.ErrInvalid) {
 			g.logEvent("crashes_rejected", "records", len(part), "cause", err)
-			g.tellCrashes(ctx, part)
+			g.tell(news{Crashes: part})
 			err = nil // A repeat would be rejected too, and block the records behind these.
 		}
 		if err == nil {
@@ -109,7 +109,7 @@
 				notified[r.Key] = true
 			}
 			g.logEvent("crashes_unpublished", "records", len(unsent), "peers", len(g.owner.Peers()), "cause", err)
-			g.tellCrashes(ctx, unsent)
+			g.tell(news{Crashes: unsent})
 		}
 		select {
 		case <-time.After(publishRetryInterval):
@@ -119,12 +119,6 @@
 	}
 }
 
-func (g *Gateway) tellCrashes(ctx context.Context, records []store.Record) {
-	if err := notifyPeers(ctx, g, crashPath, crashNotice{records}); err != nil {
-		g.logEvent("crash_not_told", "records", len(records), "cause", err)
-	}
-}
-
 // sweepCrashes removes expired records from the store. Only the owner of sweepPartition does so.
 func (g *Gateway) sweepCrashes(now time.Time) {
 	if _, ok := g.owner.HeldPartition(sweepPartition); !ok || !g.suspects.sweepDue(now) {
--- a/internal/role/gate/crashrecord.go
+++ b/internal/role/gate/crashrecord.go
@@ -57,8 +57,3 @@
 	c.At = time.UnixMilli(v.AtMS)
 	return c, false, nil
 }
-
-// crashNotice sends crash records to a peer before it reads them from the store.
-type crashNotice struct {
-	Records []store.Record `json:"records"`
-}
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -195,8 +195,8 @@
 	if info.HasLoad {
 		g.roster.RecordLoad(u.Instance, info.Load, time.Now())
 	}
-	if info.Leaving && g.roster.MarkLeaving(u.Instance, time.Now()) {
-		g.logEvent("upstream_leaving", "upstream", u.Instance, "address", u.Address, "request", a.call.ID)
+	if info.Leaving {
+		g.observeLeaving(u.Start())
 	}
 	if info.NotExecuted || info.Misdirected {
 		o := roster.Rejected
--- a/internal/role/gate/lease.go
+++ b/internal/role/gate/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"syscall"
 	"time"
 
@@ -50,7 +49,7 @@
 		}
 		now := time.Now()
 		expires := g.owner.LeaseExpires()
-		partitions, borrowers := g.rates.allocated(now)
+		partitions := g.rates.allocated(now)
 		if len(partitions) == 0 || expires.IsZero() || expires.Sub(now) > vouchBefore {
 			if lost && expires.After(now) {
 				lost = false
@@ -58,7 +57,7 @@
 			}
 			continue
 		}
-		if err := g.askPeers(ctx, partitions, borrowers); err == nil {
+		if err := g.askPeers(ctx, partitions); err == nil {
 			g.owner.ExtendLease(now, vouchedFor)
 		} else if !lost && time.Now().After(expires) {
 			lost = true
@@ -71,16 +70,11 @@
 var errAssignedElsewhere = errors.New("the partition is assigned to a peer")
 
 // askPeers returns nil if every known peer says that none of the partitions is assigned to it, or is not running.
-func (g *Gateway) askPeers(ctx context.Context, partitions []int, borrowers []string) error {
+func (g *Gateway) askPeers(ctx context.Context, partitions []int) error {
 	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 	defer cancel()
-	asked := append(g.owner.Peers(), borrowers...)
-	slices.Sort(asked)
 	var eg errgroup.Group
-	for _, address := range slices.Compact(asked) {
-		if address == g.settings.ListenPeers {
-			continue
-		}
+	for _, address := range g.knownPeers() {
 		eg.Go(func() error {
 			a, err := callPeer[assignedAnswer](ctx, g.peers, address, assignPath, assignedRequest{partitions})
 			switch {
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -21,15 +21,14 @@
 
 // Paths of the peer API.
 const (
-	turnsPath   = "/v1/turns"
-	borrowPath  = "/v1/borrow"
-	adoptPath   = "/v1/adopt"
-	chainPath   = "/v1/chain"
-	storePath   = "/v1/store"
-	pokePath    = "/v1/poke"
-	crashPath   = "/v1/crash"
-	failingPath = "/v1/failing"
-	assignPath  = "/v1/assigned"
+	turnsPath  = "/v1/turns"
+	borrowPath = "/v1/borrow"
+	adoptPath  = "/v1/adopt"
+	chainPath  = "/v1/chain"
+	storePath  = "/v1/store"
+	pokePath   = "/v1/poke"
+	newsPath   = "/v1/news"
+	assignPath = "/v1/assigned"
 )
 
 const (
@@ -185,14 +184,7 @@
 		g.owner.HeartbeatNow()
 		return struct{}{}, nil
 	}))
-	mux.Handle("POST "+crashPath, jsonHandler(g, func(_ context.Context, n crashNotice) (struct{}, error) {
-		g.applyCrashes(n.Records, "peer")
-		return struct{}{}, nil
-	}))
-	mux.Handle("POST "+failingPath, jsonHandler(g, func(_ context.Context, n failingNotice) (struct{}, error) {
-		g.roster.RecordPeerFailure(n.Instance, n.Incarnation, time.Now())
-		return struct{}{}, nil
-	}))
+	mux.Handle("POST "+newsPath, jsonHandler(g, g.applyNews))
 	mux.Handle("POST "+assignPath, jsonHandler(g, func(_ context.Context, q assignedRequest) (assignedAnswer, error) {
 		return assignedAnswer{slices.ContainsFunc(q.Partitions, g.owner.Assigned)}, nil
 	}))
--- a/internal/role/gate/rates.go
+++ b/internal/role/gate/rates.go
@@ -73,24 +73,33 @@
 	}
 }
 
-// allocated returns the partitions whose rates this process has allocated lately, and the gateways that borrowed.
-func (r *rates) allocated(now time.Time) (partitions []int, borrowers []string) {
+// allocated returns the partitions whose rates this process has allocated lately.
+func (r *rates) allocated(now time.Time) []int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var partitions []int
 	for name, al := range r.allocators {
 		p := r.allocatorPartition(name)
 		if now.Sub(al.grantedAt) < allocatorIdle && r.gateway.owner.Assigned(p) && !slices.Contains(partitions, p) {
 			partitions = append(partitions, p)
 		}
 	}
+	return partitions
+}
+
+// recentBorrowers returns the peer addresses of the gateways that borrowed from this process lately.
+func (r *rates) recentBorrowers(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
 	for address, at := range r.borrowers {
 		if now.Sub(at) > borrowerTTL {
 			delete(r.borrowers, address)
 			continue
 		}
-		borrowers = append(borrowers, address)
+		out = append(out, address)
 	}
-	return partitions, borrowers
+	return out
 }
 
 // admitProgram takes the tokens that a new program is expected to need from the workspace's plan, so that new programs
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -44,7 +44,7 @@
 		g.recordBroken(ctx, a, u, errors.Newf("resuming the stream failed with status %d", resp.Status))
 		return true, nil
 	}
-	if err := t.head(resp); err != nil {
+	if err := t.head(u, resp); err != nil {
 		return false, t.abandon(u, err)
 	}
 	from, began := t.scan.EventCount(), time.Now()
@@ -79,12 +79,17 @@
 }
 
 // head passes on the first engine's headers; engines that resume the stream contribute only their bodies.
-func (t *turnExecution) head(resp *httpc.Response) error {
+func (t *turnExecution) head(u roster.Upstream, resp *httpc.Response) error {
 	if t.headSent {
 		return nil
 	}
 	t.headSent = true
-	return t.out(answerPart{Status: resp.Status, Header: t.gateway.codec.ResponseHeaders(resp.Header)})
+	part := answerPart{Status: resp.Status, Header: t.gateway.codec.ResponseHeaders(resp.Header)}
+	if t.gateway.codec.ParseResponse(resp.Status, resp.Header).Leaving {
+		leaving := upstreamStart(u.Start())
+		part.Leaving = &leaving
+	}
+	return t.out(part)
 }
 
 // maxAnswerBytes returns how many bytes the answer may have.
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -61,6 +61,8 @@
 	Status int         `json:"status,omitempty"`
 	Header http.Header `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
+	// Leaving is the upstream that answered, if it said that it leaves.
+	Leaving *upstreamStart `json:"leaving,omitempty"`
 }
 
 // sink receives the parts of an answer, the headers first.
@@ -72,6 +74,9 @@
 	begun := false
 	out := func(p answerPart) error {
 		begun = true
+		if p.Leaving != nil {
+			g.recordLeaving(p.Leaving.start(), "home")
+		}
 		if p.Status != 0 {
 			w.Head(p.Status, p.Header, -1)
 			return nil
--- a/internal/sched/roster/ended_test.go
+++ b/internal/sched/roster/ended_test.go
@@ -23,7 +23,7 @@
 		{"restarted under the same name", func(tb *Table) { tb.Update(again) }, 1},
 		{"another instance answers", func(tb *Table) { tb.Done("x", Misdirected, now) }, 1},
 		{"gone after it drained", func(tb *Table) {
-			tb.MarkLeaving("x", now)
+			tb.MarkLeaving(testUpstream("x").Start(), now)
 			tb.Remove("x", now)
 		}, 0},
 		{"missing in an outage and back", func(tb *Table) {
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -136,19 +136,16 @@
 	return &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time)}
 }
 
-// MarkLeaving records an upstream's notice that it is leaving, which applies until it ends. It reports whether the
-// notice is new.
-func (t *Table) MarkLeaving(instance string, now time.Time) bool {
+// MarkLeaving records an upstream's notice that it is leaving, which applies until that start of it ends. The upstream may
+// not be listed yet. It reports whether the notice is new.
+func (t *Table) MarkLeaving(start Start, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.upstreams[instance]
-	if !ok {
-		return false
+	_, known := t.leaving[start]
+	t.leaving[start] = now
+	if s, ok := t.upstreams[start.Instance]; ok && s.Start() == start {
+		s.Draining = true
 	}
-	key := s.Start()
-	_, known := t.leaving[key]
-	t.leaving[key] = now
-	s.Draining = true
 	return !known
 }
 
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -128,8 +128,8 @@
 	u := Upstream{Instance: "i1", Incarnation: 1, Address: "a:1", Service: "s", Slots: 4}
 	tb := New()
 	tb.Update(u)
-	is.True(tb.MarkLeaving("i1", now))
-	is.True(!tb.MarkLeaving("i1", now)) // Known already.
+	is.True(tb.MarkLeaving(u.Start(), now))
+	is.True(!tb.MarkLeaving(u.Start(), now)) // Known already.
 	picked := func() bool {
 		_, ok := tb.Pick(Criteria{Service: "s"}, now)
 		return ok
@@ -192,3 +192,25 @@
 	}
 	is.True(held <= 8) // The mean is five of ten slots.
 }
+
+// TestLeavingOfAnotherStart covers news of a leaving upstream that arrive before its announcement, or after it restarted.
+func TestLeavingOfAnotherStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	u := Upstream{Instance: "i1", Incarnation: 2, Address: "a:1", Service: "s", Slots: 4}
+	former := u
+	former.Incarnation = 1
+	tb := New()
+	picked := func() bool {
+		_, ok := tb.Pick(Criteria{Service: "s"}, now)
+		return ok
+	}
+	is.True(tb.MarkLeaving(u.Start(), now))
+	tb.Update(u)
+	is.True(!picked())
+
+	tb = New()
+	tb.Update(u)
+	is.True(tb.MarkLeaving(former.Start(), now))
+	is.True(picked())
+}
