--- a/internal/role/gate/lease.go
+++ b/internal/role/gate/lease.go
@@ -22,7 +22,7 @@
 	// allocatorIdle is how long after its last grant a process keeps its lease alive.
 	allocatorIdle = 5 * time.Second
 	// borrowerTTL is how long a gateway that borrowed is asked to vouch.
-	borrowerTTL = time.Minute
+	borrowerTTL = 15 * time.Second
 )
 
 type (
