gate: a graceful stop waits for turns that run for other gateways

Cause: the stop waited for its own callers' requests only. Change: after them it waits until nobody reads a turn from it any more, within the time of the stop.

--- a/internal/role/gate/readers.go
+++ b/internal/role/gate/readers.go
@@ -39,6 +39,13 @@
 	return r.n[id] > 0
 }
 
+// none reports whether no connection reads a stream.
+func (r *readers) none() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.n) == 0
+}
+
 // framePosition returns the frame position at which a reader wants to continue.
 func framePosition(r *http.Request) (int, error) {
 	pos, err := strconv.Atoi(r.URL.Query().Get("from"))
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -13,6 +13,8 @@
 	// leaveReserve is the time before the end of a graceful stop that is kept for handing over partitions, also if the
 	// store does not confirm appends.
 	leaveReserve = 1500 * time.Millisecond
+	// peerTurnsPollInterval is the time between two looks for turns that are still running for peers.
+	peerTurnsPollInterval = 20 * time.Millisecond
 )
 
 // stopping records whether a graceful stop has begun. The zero value is ready for use.
@@ -38,6 +40,19 @@
 	}
 }
 
+// AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends.
+func (g *Gateway) AwaitPeerTurns(ctx context.Context) {
+	poll := time.NewTicker(peerTurnsPollInterval)
+	defer poll.Stop()
+	for !g.readers.none() {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // leave hands over the partitions, leaving leaveReserve of the stop.
 func (g *Gateway) leave(ctx context.Context) {
 	began := time.Now()
