--- a/internal/role/gate/crash.go
+++ b/internal/role/gate/crash.go
@@ -122,7 +122,7 @@
 		g.logEvent("upstream_crashed", "upstream", u.Instance, "address", u.Address, "request", request,
 			"fingerprint", hex(f), "crashes", known)
 		if known >= notifyCrashes {
-			g.tell(news{Crashes: g.suspects.crashRecords(f, time.Now())})
+			g.notifyKnown(notice{Crashes: g.suspects.crashRecords(f, time.Now())})
 		}
 	}
 }
--- a/internal/role/gate/crashfeed.go
+++ b/internal/role/gate/crashfeed.go
@@ -96,7 +96,7 @@
 		cancel()
 		if errors.Is(err, store.ErrInvalid) {
 			g.logEvent("crashes_rejected", "records", len(part), "cause", err)
-			g.tell(news{Crashes: part})
+			g.notifyKnown(notice{Crashes: part})
 			err = nil // A repeat would be rejected too, and block the records behind these.
 		}
 		if err == nil {
@@ -109,7 +109,7 @@
 				notified[r.Key] = true
 			}
 			g.logEvent("crashes_unpublished", "records", len(unsent), "peers", len(g.owner.Peers()), "cause", err)
-			g.tell(news{Crashes: unsent})
+			g.notifyKnown(notice{Crashes: unsent})
 		}
 		select {
 		case <-time.After(publishRetryInterval):
--- a/internal/role/gate/failing.go
+++ b/internal/role/gate/failing.go
@@ -18,5 +18,5 @@
 		return
 	}
 	g.logEvent("upstream_failing", "upstream", u.Instance, "address", u.Address, "failures", c.Factor)
-	g.tell(news{Failing: []upstreamStart{upstreamStart(u.Start())}})
+	g.notifyKnown(notice{Failing: []upstreamStart{upstreamStart(u.Start())}})
 }
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -61,7 +61,7 @@
 	initialTimeLeft memo[time.Duration]
 	answeredSampler sampler
 	suspects        *crashSuspects
-	news            *newsDesk
+	notices         *notifier
 	unowned         unownedPartitions
 	latencies       latencies
 	slowRetries     slowRetries
@@ -96,7 +96,7 @@
 		roster: roster.New(), feedCache: newFeedCache(), streams: frame.NewStreams(),
 		cacheEngines:    newMemo[string](maxCacheEngines),
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
-		suspects:        newCrashSuspects(), news: newNewsDesk(), policy: admit.DefaultPolicy(),
+		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.ListenPeers)
@@ -118,7 +118,7 @@
 	g.Go(gt.publishCrashes)
 	g.Go(gt.housekeeping)
 	g.Go(gt.keepLease)
-	g.Go(gt.sendNews)
+	g.Go(gt.sendNotices)
 	return gt, nil
 }
 
--- a/internal/role/gate/lease.go
+++ b/internal/role/gate/lease.go
@@ -69,12 +69,17 @@
 // errAssignedElsewhere means that a peer holds one of the partitions.
 var errAssignedElsewhere = errors.New("the partition is assigned to a peer")
 
-// askPeers returns nil if every known peer says that none of the partitions is assigned to it, or is not running.
+// askPeers returns nil if every known peer says that none of the partitions is assigned to it, or is not running. While
+// no peer is known, the seeds of the settings are asked.
 func (g *Gateway) askPeers(ctx context.Context, partitions []int) error {
 	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 	defer cancel()
+	peers := g.knownPeers()
+	if len(peers) == 0 {
+		peers = g.peerAddresses()
+	}
 	var eg errgroup.Group
-	for _, address := range g.knownPeers() {
+	for _, address := range peers {
 		eg.Go(func() error {
 			a, err := callPeer[assignedAnswer](ctx, g.peers, address, assignPath, assignedRequest{partitions})
 			switch {
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -27,7 +27,7 @@
 	chainPath  = "/v1/chain"
 	storePath  = "/v1/store"
 	pokePath   = "/v1/poke"
-	newsPath   = "/v1/news"
+	noticePath = "/v1/notice"
 	assignPath = "/v1/assigned"
 )
 
@@ -184,7 +184,7 @@
 		g.owner.HeartbeatNow()
 		return struct{}{}, nil
 	}))
-	mux.Handle("POST "+newsPath, jsonHandler(g, g.applyNews))
+	mux.Handle("POST "+noticePath, jsonHandler(g, g.applyNotice))
 	mux.Handle("POST "+assignPath, jsonHandler(g, func(_ context.Context, q assignedRequest) (assignedAnswer, error) {
 		return assignedAnswer{slices.ContainsFunc(q.Partitions, g.owner.Assigned)}, nil
 	}))
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -217,11 +217,11 @@
 		return nil
 	}
 	now := time.Now()
-	tellBy, _ := ctx.Deadline()
+	reportBy, _ := ctx.Deadline()
 	completed := turns.Turn{
 		Ref: turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, Program: t.Call.Program, Previous: t.Call.Turn.Previous,
 		Input: t.Call.Body, Output: slices.Clone(t.scan.Data()),
-	}.WithRetention(time.Duration(t.RetentionMS)*time.Millisecond, tellBy, now)
+	}.WithRetention(time.Duration(t.RetentionMS)*time.Millisecond, reportBy, now)
 	ticket, err := t.partition.Finish(t.reservation, completed, t.deliveredTokens(), now)
 	if err == nil {
 		err = t.partition.Await(ctx, ticket)
--- a/internal/role/runner/body.go
+++ b/internal/role/runner/body.go
@@ -5,21 +5,27 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
 
-// requestWrite receives the outcome of writing a request.
-type requestWrite chan error
+// requestWrite is the outcome of writing a request.
+type requestWrite struct {
+	// ended is closed once the write has ended; err is set before.
+	ended chan struct{}
+	once  sync.Once
+	err   error
+}
 
-func newRequestWrite() requestWrite { return make(requestWrite, 1) }
+func newRequestWrite() *requestWrite { return &requestWrite{ended: make(chan struct{})} }
 
 // record implements httptrace.ClientTrace.WroteRequest.
-func (w requestWrite) record(i httptrace.WroteRequestInfo) {
-	select {
-	case w <- i.Err:
-	default:
-	}
+func (w *requestWrite) record(i httptrace.WroteRequestInfo) {
+	w.once.Do(func() {
+		w.err = i.Err
+		close(w.ended)
+	})
 }
 
 // unframedBody is a response body that ends with its connection. The system reports a reset only once per connection; if
@@ -27,7 +33,7 @@
 type unframedBody struct {
 	io.ReadCloser
 	ctx   context.Context
-	write requestWrite
+	write *requestWrite
 }
 
 // Read implements io.Reader.
@@ -37,15 +43,14 @@
 		return n, err
 	}
 	select {
-	case werr := <-b.write:
-		b.write.record(httptrace.WroteRequestInfo{Err: werr})
-		if werr != nil {
-			return n, errors.Wrap(werr, "connection ended while the request was written")
-		}
-		return n, io.EOF
+	case <-b.write.ended:
 	case <-b.ctx.Done():
 		return n, b.ctx.Err()
 	}
+	if b.write.err != nil {
+		return n, errors.Wrap(b.write.err, "connection ended while the request was written")
+	}
+	return n, io.EOF
 }
 
 // isUnframed reports whether the response has a body with neither a length nor chunks.
--- a/internal/sched/roster/roster_test.go
+++ b/internal/sched/roster/roster_test.go
@@ -193,7 +193,7 @@
 	is.True(held <= 8) // The mean is five of ten slots.
 }
 
-// TestLeavingOfAnotherStart covers news of a leaving upstream that arrive before its announcement, or after it restarted.
+// TestLeavingOfAnotherStart covers notices of a leaving upstream that arrive before its announcement, or after it restarted.
 func TestLeavingOfAnotherStart(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/internal/state/turns/retention.go
+++ b/internal/state/turns/retention.go
@@ -10,10 +10,10 @@
 	maxClockError = 5 * time.Minute
 )
 
-// WithRetention returns the turn with the given retention. Its caller may learn of its end until tellBy, since the record
-// must be durable before, and the retention counts from there.
-func (t Turn) WithRetention(retention time.Duration, tellBy, now time.Time) Turn {
-	kept := max(0, tellBy.Sub(now)) + retention + deliveryMargin
+// WithRetention returns the turn with the given retention. Its end is reported to the caller at reportBy at the
+// latest, after the record is durable, and the retention counts from there.
+func (t Turn) WithRetention(retention time.Duration, reportBy, now time.Time) Turn {
+	kept := max(0, reportBy.Sub(now)) + retention + deliveryMargin
 	t.KeptMS = kept.Milliseconds()
 	t.ExpiresAt = now.Add(kept).UnixMilli()
 	return t
