roster: an upstream that vanishes after an outage gets no requests while most others are listed

Trace: the store had turned edge-sfax-b-1 away for 7 s and served all others. When its feed came back, at 23.617 s, announcements that vanish are held for 2.5 s, since they may have lapsed in an outage. A worker whose entry was removed at 24.712 s was held too, and picked until 26.957 s; nine other gateways had logged upstream_gone at 24.78 to 24.80 s. Cause: a gateway cannot tell its own outage from the store's, and took every vanished announcement for a lapse. Change: while at most a quarter of a service's upstreams are missing, those get no requests; when more are, they lapsed, and are used as before. Open: a gateway whose direct reads of a feed hang reads it through peers seldom.

--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -64,6 +64,9 @@
 	// brokenBackoff is how long an upstream is not picked after the first incomplete answer; it doubles with each
 	// consecutive failure.
 	brokenBackoff = 100 * time.Millisecond
+	// maxMissingFraction is the fraction of a service's upstreams up to which those whose announcements vanished after an
+	// outage of the store get no requests. An outage that lets announcements lapse concerns most of them.
+	maxMissingFraction = 0.25
 	// leavingTTL is how long an upstream is remembered as leaving after it last said so; it terminates within
 	// seconds.
 	leavingTTL = 10 * time.Minute
@@ -286,10 +289,14 @@
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
 	var best *upstreamState
 	var bestScore float64
+	skipMissing := t.fewMissing(c.Service)
 	for _, s := range t.upstreams {
 		if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 			continue
 		}
+		if skipMissing && !s.missingSince.IsZero() {
+			continue
+		}
 		if now.Before(s.backoffUntil) && !(includeBroken && s.accepting) {
 			continue
 		}
@@ -312,6 +319,22 @@
 	return best
 }
 
+// fewMissing reports whether so few announcements of the service vanished after an outage of the store that the upstreams
+// are more likely gone than their announcements lapsed. The caller holds the lock.
+func (t *Table) fewMissing(service string) bool {
+	missing, listed := 0, 0
+	for _, s := range t.upstreams {
+		if s.Service != service {
+			continue
+		}
+		listed++
+		if !s.missingSince.IsZero() {
+			missing++
+		}
+	}
+	return float64(missing) <= maxMissingFraction*float64(listed)
+}
+
 // cachesPrefix reports whether the engine is one of those that should cache the shared prompt prefix. All processes
 // compute the same result without coordination.
 func (s *upstreamState) cachesPrefix(prefix string) bool {
