owner: the lease test ends a membership after the last heartbeat that arrived

Cause, in the test: a heartbeat may arrive at the very moment of the cut, and the stand-in's membership was ended 1.5 s after the one before it. The store counts from the last arrival, so the test does too, and asks for it again when the time has come. The check is the same.

--- a/internal/role/owner/lease_test.go
+++ b/internal/role/owner/lease_test.go
@@ -17,6 +17,16 @@
 	f.rebalance()
 }
 
+// expireAfterLastHeartbeat ends the membership of the process at the address memberTTL after its last heartbeat arrived. One
+// may arrive at the very moment of the call.
+func (l *laggingStore) expireAfterLastHeartbeat(address string) {
+	if left := time.Until(l.joinedAt.Load().Add(memberTTL)); left > 0 {
+		time.AfterFunc(left, func() { l.expireAfterLastHeartbeat(address) })
+		return
+	}
+	l.expireMember(address)
+}
+
 // TestLeaseEndsBeforeAnotherProcessIsAssigned guards against two processes that allocate the same rate: one that is cut off
 // from the store and goes on with an assignment that the store has given to the other.
 func TestLeaseEndsBeforeAnotherProcessIsAssigned(t *testing.T) {
@@ -49,7 +59,7 @@
 				renewed := time.Now()
 				time.Sleep(tt.afterHeartbeat)
 				cut.silent.Store(true)
-				time.AfterFunc(time.Until(renewed.Add(memberTTL)), func() { f.expireMember(address) })
+				cut.expireAfterLastHeartbeat(address)
 				believed, leased := 0, 0
 				for time.Since(renewed) < 8*time.Second {
 					_, _, aHolds := a.LeasedSince(0)
--- a/internal/role/owner/settle_test.go
+++ b/internal/role/owner/settle_test.go
@@ -28,6 +28,8 @@
 type laggingStore struct {
 	*fakeStore
 	silent atomic.Bool
+	// joinedAt is when the last heartbeat reached the store.
+	joinedAt atomic.Pointer[time.Time]
 }
 
 func (l *laggingStore) Append(ctx context.Context, id int, fe store.Fence, records []store.Record) error {
@@ -43,6 +45,8 @@
 	if l.silent.Load() {
 		return store.Assignment{}, errors.Wrap(store.ErrOutcomeUnknown, "silent")
 	}
+	now := time.Now()
+	l.joinedAt.Store(&now)
 	return l.fakeStore.Join(ctx, member, generation, ttl)
 }
 
