httpc: the connection of a stream that was cut off is not used again

Callers could get 502 for a turn that no engine had received. Cause: a stream that ends in an event with its framing complete was rejected by answerBody, but its body had been read to its end, so the connection went back to the pool; the engine, which is going down, closes it, and the next request may be written before that is seen. Change: such a response is marked incomplete, and its connection is closed.

--- a/internal/role/gate/answerbody.go
+++ b/internal/role/gate/answerbody.go
@@ -66,6 +66,7 @@
 		b.logEnd(cut)
 	}
 	if cut {
+		b.resp.MarkIncomplete()
 		return errors.Wrapf(events.ErrTruncated, "body framed by %s, after %d bytes and %d events",
 			b.resp.Framing, b.size, b.boundary.Events())
 	}
--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -76,6 +76,10 @@
 // Close ends the exchange. The connection returns to the pool if the whole response was read.
 func (r *Response) Close() { r.ex.close() }
 
+// MarkIncomplete makes Close end the connection although the body was read to its end: its content shows that the upstream
+// broke off.
+func (r *Response) MarkIncomplete() { r.ex.broken = true }
+
 // Discard reads the rest of a short response, so that its connection can be reused, and closes the response.
 func (r *Response) Discard() {
 	defer r.Close()
@@ -97,8 +101,9 @@
 	stopWatch  func() bool
 	writer     errgroup.Group
 	writeEnded chan struct{}
-	complete   bool
-	once       sync.Once
+	// complete means that the body was read to its end, broken that its content shows that the upstream broke off.
+	complete, broken bool
+	once             sync.Once
 }
 
 // Do sends the request and returns the response once its headers are read. responseID returns the ID of the request that
@@ -197,7 +202,7 @@
 func (e *exchange) close() {
 	e.once.Do(func() {
 		stopped := e.stopWatch()
-		if !stopped || !e.complete || !e.isWritten() || e.resp.Close || e.framing() == FramedByClose ||
+		if !stopped || !e.complete || e.broken || !e.isWritten() || e.resp.Close || e.framing() == FramedByClose ||
 			e.c.br.Buffered() > 0 {
 			_ = e.c.Close()
 			return
--- a/internal/wire/httpc/httpc_test.go
+++ b/internal/wire/httpc/httpc_test.go
@@ -324,3 +324,33 @@
 		t.Fatal("connection is still open after the context was cancelled")
 	}
 }
+
+// TestConnectionOfAnIncompleteResponseIsNotReused guards against a request that fails on a connection which the upstream
+// is closing, since its last response was framed as complete and was not.
+func TestConnectionOfAnIncompleteResponseIsNotReused(t *testing.T) {
+	for _, incomplete := range []bool{false, true} {
+		is := is.New(t)
+		s := serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, responseTo(r.Header.Get("Id")))
+			}
+		})
+		p := NewPool()
+		resp, err := p.Do(t.Context(), s.Addr().String(), request("1", ""), responseID)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		if incomplete {
+			resp.MarkIncomplete()
+		}
+		resp.Close()
+		_, err = exchangeOnce(p, s.Addr().String(), "2")
+		is.NoErr(err)
+		is.Equal(s.conns.Load() == 2, incomplete)
+	}
+}
