runner: the reset that only the writer sees is reached at every run of a test

The case itself is now played without a socket by TestUnframedBodyNeedsAWrittenRequest, at every run; the test with sockets goes on checking that no truncated answer counts as complete, and counts how often the writer received the reset.

--- a/internal/role/runner/upstream_test.go
+++ b/internal/role/runner/upstream_test.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"galenaward.example/galenaward/internal/plat/fault"
@@ -120,6 +123,20 @@
 	t.Logf("%d answers were cut", reached)
 }
 
+// TestUnframedBodyNeedsAWrittenRequest reaches the case of TestResetDuringServiceCallIsNotDone at every run: the read ends
+// in order, and the write of the request received the reset.
+func TestUnframedBodyNeedsAWrittenRequest(t *testing.T) {
+	for _, writeErr := range []error{nil, syscall.ECONNRESET} {
+		write := newRequestWrite()
+		write.record(httptrace.WroteRequestInfo{Err: writeErr})
+		b := &unframedBody{ReadCloser: io.NopCloser(strings.NewReader("half")), ctx: t.Context(), write: write}
+		text, err := io.ReadAll(b)
+		if string(text) != "half" || !errors.Is(err, writeErr) || (err != nil) != (writeErr != nil) {
+			t.Errorf("write error %v: body %q, error %v", writeErr, text, err)
+		}
+	}
+}
+
 // TestResetDuringServiceCallIsNotDone guards against a truncated answer that counts as complete since the write of the
 // request, and not the read of the answer, received the reset of the connection.
 func TestResetDuringServiceCallIsNotDone(t *testing.T) {
@@ -143,9 +160,8 @@
 		}
 	}
 	t.Logf("%d answers were reset, the reader did not see the reset of %d", reached.Load(), unseen)
-	if reached.Load() != tries || unseen == 0 {
-		t.Errorf("%d of %d answers were reset, %d without an error of the read: the case was not reached",
-			reached.Load(), tries, unseen)
+	if reached.Load() != tries {
+		t.Errorf("%d of %d answers were reset", reached.Load(), tries)
 	}
 	if done > 0 {
 		t.Errorf("%d of %d truncated answers count as complete", done, tries)
