--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -168,13 +168,6 @@
 	}
 }
 
-// HoldUntil keeps upstreams whose announcements vanish until the given time.
-func (t *Table) HoldUntil(until time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.holdUntil = until
-}
-
 // Update records the latest announcement of an upstream. It returns the address of an earlier start that is gone, and
 // whether the upstream begins to drain.
 func (t *Table) Update(u Upstream) (gone string, drains bool) {
@@ -234,22 +227,6 @@
 	return slices.Collect(maps.Keys(t.upstreams))
 }
 
-// ExpireMissing removes upstreams whose announcements vanished during an outage of the store and did not return.
-func (t *Table) ExpireMissing(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.Before(t.holdUntil) {
-		return
-	}
-	maps.DeleteFunc(t.leaving, func(_ Start, at time.Time) bool { return now.Sub(at) > leavingTTL })
-	maps.DeleteFunc(t.upstreams, func(_ string, s *upstreamState) bool {
-		if !s.missingSince.IsZero() {
-			t.recordEnd(s)
-		}
-		return !s.missingSince.IsZero()
-	})
-}
-
 // Criteria describes the request that an upstream is picked for.
 type Criteria struct {
 	Service string
@@ -319,22 +296,6 @@
 	return best
 }
 
-// fewMissing reports whether so few announcements of the service vanished after an outage of the store that the upstreams
-// are more likely gone than their announcements lapsed. The caller holds the lock.
-func (t *Table) fewMissing(service string) bool {
-	missing, listed := 0, 0
-	for _, s := range t.upstreams {
-		if s.Service != service {
-			continue
-		}
-		listed++
-		if !s.missingSince.IsZero() {
-			missing++
-		}
-	}
-	return float64(missing) <= maxMissingFraction*float64(listed)
-}
-
 // cachesPrefix reports whether the engine is one of those that should cache the shared prompt prefix. All processes
 // compute the same result without coordination.
 func (s *upstreamState) cachesPrefix(prefix string) bool {
