roster: count missing upstreams only when one is met; httpc: one test server

Each pick counted the missing announcements of its service in a pass of its own, also when nothing was missing; now only a missing upstream asks. Picks are the same. Two tests of httpc share the server that answers each request.

--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -266,12 +266,11 @@
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
 	var best *upstreamState
 	var bestScore float64
-	skipMissing := t.fewMissing(c.Service)
 	for _, s := range t.upstreams {
 		if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 			continue
 		}
-		if skipMissing && !s.missingSince.IsZero() {
+		if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
 			continue
 		}
 		if now.Before(s.backoffUntil) && !(includeBroken && s.accepting) {
--- a/internal/wire/httpc/httpc_test.go
+++ b/internal/wire/httpc/httpc_test.go
@@ -61,6 +61,21 @@
 	return string(b), err
 }
 
+// serveEach starts a server that responds to each request on kept connections.
+func serveEach(t *testing.T) *server {
+	t.Helper()
+	return serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, responseTo(r.Header.Get("Id")))
+		}
+	})
+}
+
 func request(id, body string) *Request {
 	return &Request{ID: id, Method: "POST", Target: "/a//b?x=%2f", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body)}
 }
@@ -203,16 +218,7 @@
 // TestConnectionIsReplacedAfterMaxExchanges checks the bound on the IDs that a connection remembers.
 func TestConnectionIsReplacedAfterMaxExchanges(t *testing.T) {
 	is := is.New(t)
-	s := serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(c, responseTo(r.Header.Get("Id")))
-		}
-	})
+	s := serveEach(t)
 	p := NewPool()
 	for i := range maxExchanges + 1 {
 		_, err := exchangeOnce(p, s.Addr().String(), strconv.Itoa(i))
@@ -330,16 +336,7 @@
 func TestConnectionOfAnIncompleteResponseIsNotReused(t *testing.T) {
 	for _, incomplete := range []bool{false, true} {
 		is := is.New(t)
-		s := serve(t, func(_ int64, c net.Conn, br *bufio.Reader) {
-			for {
-				r, err := http.ReadRequest(br)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, responseTo(r.Header.Get("Id")))
-			}
-		})
+		s := serveEach(t)
 		p := NewPool()
 		resp, err := p.Do(t.Context(), s.Addr().String(), request("1", ""), responseID)
 		is.NoErr(err)
