gate: turns on routes that keep no history run where they arrive

Cause: such turns carry their whole prompt, and still travelled to the home of their program and back, as often as not through another data centre. Change: the gateway that receives the turn runs it; the home grants it tokens of the budget (setting local_turns). Ruled out: a quarter of the budget granted without a record to programs that begin in an outage.

--- a/internal/plat/config/common.go
+++ b/internal/plat/config/common.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// Values of settings that switch a feature. Auto leaves the choice to the configuration in force.
+const (
+	Auto = "auto"
+	On   = "on"
+	Off  = "off"
+)
+
+// checkSwitch returns an error unless the value is Auto, On or Off.
+func checkSwitch(field, value string) []FieldError {
+	switch value {
+	case Auto, On, Off:
+		return nil
+	}
+	return []FieldError{{Field: field, Problem: fmt.Sprintf("%q must be %q, %q or %q", value, Auto, On, Off)}}
+}
+
 // Millis converts a settings field in milliseconds to a duration.
 func Millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -59,6 +59,7 @@
 	// they had left when they first asked to start.
 	cacheEngines    memo[string]
 	initialTimeLeft memo[time.Duration]
+	allowances      *allowances
 	answeredSampler sampler
 	suspects        *crashSuspects
 	notices         *notifier
@@ -96,6 +97,7 @@
 		roster: roster.New(), feedCache: newFeedCache(), streams: frame.NewStreams(),
 		cacheEngines:    newMemo[string](maxCacheEngines),
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
+		allowances:      newAllowances(),
 		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
 		shutdown: serve.NewShutdown(),
 	}
@@ -152,6 +154,7 @@
 			g.roster.ExpireMissing(now)
 			g.attributeCrashes()
 			g.sweepCrashes(now)
+			g.returnIdle(ctx, now.Add(-allowanceIdle))
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.CanRoute() && !g.shutdown.Begun() && !g.ready.IsReady() {
 				g.ready.Set(true)
--- /dev/null
+++ b/internal/role/gate/localturn.go
@@ -0,0 +1,182 @@
+package gate
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/plat/config"
+	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/state/turns"
+)
+
+// runsLocally reports whether this process runs the turn itself instead of sending it to its program's home: the caller
+// sent the whole prompt, so that only the account of the program is kept elsewhere.
+func (g *Gateway) runsLocally(j *job) bool {
+	if j.route.KeepsHistory {
+		return false
+	}
+	switch g.settings.LocalTurns {
+	case config.On:
+		return true
+	case config.Off:
+		return false
+	}
+	return !g.layout.Load().KeepsHistory()
+}
+
+// localBudget is a reservation in this process's allowance of a program.
+type localBudget struct {
+	allowances *allowances
+	program    turns.Ref
+	tokens     int64
+	// started says that the program had started before this turn.
+	started bool
+}
+
+// await returns at once: what a home grants is durable.
+func (*localBudget) await(context.Context) error { return nil }
+
+func (b *localBudget) end(tokens int64) { b.allowances.end(b.program, b.tokens, tokens, b.started) }
+
+// serveLocalTurn runs a turn without kept history within an allowance of its program's budget.
+func (g *Gateway) serveLocalTurn(ctx context.Context, j *job, w Reply) *fault.Fault {
+	q := g.turnRequest(j)
+	q.LeftMS = time.Until(j.deadline).Milliseconds()
+	a := q.attempts(j.deadline)
+	if f := g.checkQuarantine(a.job); f != nil {
+		return f
+	}
+	out := func(p answerPart) error {
+		if p.Status != 0 {
+			w.Head(p.Status, p.Header, -1)
+			return nil
+		}
+		return w.Write(p.Body)
+	}
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace}
+	b, f := g.reserveLocally(ctx, q)
+	if f != nil {
+		return f
+	}
+	t.budget, t.programStarted = b, b.started
+	if f := t.admit(ctx, time.Now()); f != nil {
+		b.end(0)
+		return f
+	}
+	return t.runWithinRate(ctx, a)
+}
+
+// reserveLocally reserves the turn's tokens in this process's allowance and asks the home for more if they don't suffice.
+func (g *Gateway) reserveLocally(ctx context.Context, q *turnRequest) (*localBudget, *fault.Fault) {
+	b := &localBudget{allowances: g.allowances, program: q.program(), tokens: q.Call.Turn.MaxTokens}
+	for {
+		ok, started, renew := g.allowances.reserve(b.program, b.tokens, time.Now())
+		if renew {
+			g.renewAsync(q)
+		}
+		if ok {
+			b.started = started
+			return b, nil
+		}
+		answer, f := g.askHome(ctx, q)
+		if f != nil {
+			return nil, f
+		}
+		if c := answer.Cached; c != nil {
+			g.cacheEngines.set(partRef(q.Workspace, c.Part), c.Instance)
+		}
+		g.allowances.add(b.program, q.Partition, answer, time.Now())
+	}
+}
+
+// askHome asks the program's home for tokens, and waits while the partition changes hands.
+func (g *Gateway) askHome(ctx context.Context, q *turnRequest) (grantAnswer, *fault.Fault) {
+	waitUntil := time.Now().Add(ownerWaitTimeout)
+	for tries := 1; ; tries++ {
+		answer, f := g.askGrant(ctx, q.grantRequest(g))
+		if f == nil || !shouldRetryOwner(f) {
+			g.unowned.markOwned(q.Partition)
+			return answer, f
+		}
+		lasting := g.unowned.markUnowned(q.Partition, time.Now())
+		if lasting && tries > 1 || ctx.Err() != nil || time.Now().After(waitUntil) {
+			return answer, g.refuse(fault.Unready, "home", "partition %d has no reachable owner: %s", q.Partition, f.Message).
+				WithRetryAfter(g.unownedRetryAfter(lasting, q))
+		}
+		g.metrics.Add("home_retries", 1)
+		select {
+		case <-time.After(ownerRetryInterval):
+		case <-ctx.Done():
+		}
+		g.owner.RefreshOwners(ctx)
+	}
+}
+
+// askGrant sends one request for tokens to the home.
+func (g *Gateway) askGrant(ctx context.Context, q grantRequest) (grantAnswer, *fault.Fault) {
+	address, self, known := g.owner.AddressOf(q.Partition)
+	if !known {
+		return grantAnswer{}, g.refuse(fault.ProgramMoved, "home", "the owner of partition %d is unknown", q.Partition)
+	}
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	var answer grantAnswer
+	var err error
+	if self {
+		answer, err = g.grantBudget(ctx, q)
+	} else {
+		answer, err = callPeer[grantAnswer](ctx, g.peers, address, grantsPath, q)
+	}
+	var f *fault.Fault
+	switch {
+	case err == nil:
+		g.metrics.Add("grants", 1)
+		return answer, nil
+	case errors.As(err, &f):
+		return answer, f
+	case errors.Is(err, syscall.ECONNREFUSED):
+		g.expelAsync(address)
+	}
+	// The home may have granted tokens that did not arrive. They count as spent once the grant expires there.
+	return answer, g.refuse(fault.PeerUnreachable, "home", "%v", err)
+}
+
+// grantRequest returns the request for tokens of the turn's program. It is made for each try, since time passes.
+func (q *turnRequest) grantRequest(g *Gateway) grantRequest {
+	r := grantRequest{
+		Workspace: q.Workspace, Program: q.Call.Program, Partition: q.Partition, Budget: q.Call.Turn.Budget,
+		TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
+		From: g.settings.PeerAddress(),
+	}
+	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
+		id := q.Call.Turn.Parts[i].ID
+		if instance := g.cacheEngines.get(partRef(q.Workspace, id)); instance != "" {
+			r.Cached = &cachedPart{Part: id, Instance: instance}
+			break
+		}
+		r.Parts = append(r.Parts, id)
+	}
+	return r
+}
+
+// renewAsync asks for tokens that the program's next turn is expected to need.
+func (g *Gateway) renewAsync(q *turnRequest) {
+	g.group.Go(func(ctx context.Context) error {
+		defer g.allowances.renewed(q.program())
+		r := q.grantRequest(g)
+		r.Ahead = true
+		answer, f := g.askGrant(ctx, r)
+		if f == nil {
+			g.allowances.add(q.program(), q.Partition, answer, time.Now())
+		}
+		return nil // The next turn asks again.
+	})
+}
+
+// partRef is the key under which the engine that caches a prompt up to the part is recorded.
+func partRef(workspace, part string) turns.Ref {
+	return turns.Ref{Workspace: workspace, ID: "part/" + part}
+}
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -29,6 +29,10 @@
 	pokePath   = "/v1/poke"
 	noticePath = "/v1/notice"
 	assignPath = "/v1/assigned"
+	// grantsPath asks for tokens of a program's budget, returnsPath returns them, recallPath asks for unused ones.
+	grantsPath  = "/v1/grants"
+	returnsPath = "/v1/returns"
+	recallPath  = "/v1/recall"
 )
 
 const (
@@ -177,6 +181,7 @@
 	mux.HandleFunc("POST "+turnsPath, g.beginTurn)
 	mux.HandleFunc("GET "+turnsPath+"/{id}", g.resumeTurn)
 	mux.HandleFunc("DELETE "+turnsPath+"/{id}", g.endTurn)
+	g.registerGrantHandlers(mux)
 	mux.Handle("POST "+borrowPath, jsonHandler(g, g.grantTokens))
 	mux.Handle("POST "+chainPath, jsonHandler(g, g.findLocalChain))
 	mux.Handle("POST "+adoptPath, jsonHandler(g, g.adopt))
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -30,10 +30,11 @@
 // turnExecution is the execution of a turn at the owner of its partition.
 type turnExecution struct {
 	*turnRequest
-	gateway     *Gateway
-	partition   *owner.Partition
-	reservation owner.AdmittedTurn
-	out         sink
+	gateway *Gateway
+	budget  turnBudget
+	// chain holds the earlier turns if the route keeps history.
+	chain []turns.Turn
+	out   sink
 	// workspace has the rate that the turn counts against.
 	workspace layout.Workspace
 	// scan parses the events that were passed on.
@@ -61,17 +62,22 @@
 	if f != nil {
 		return f
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, partition: p, out: out, workspace: w}
-	if f := t.begin(ctx); f != nil {
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: w}
+	if f := t.begin(ctx, p); f != nil {
 		return f
 	}
+	return t.runWithinRate(ctx, a)
+}
+
+// runWithinRate takes a request from the workspace's rate and runs the turn.
+func (t *turnExecution) runWithinRate(ctx context.Context, a *attempts) *fault.Fault {
 	started := false
-	f = g.withRateToken(ctx, w, func() *fault.Fault {
+	f := t.gateway.withRateToken(ctx, t.workspace, func() *fault.Fault {
 		started = true
 		return t.run(ctx, a)
 	})
 	if !started {
-		t.partition.Abort(t.reservation, 0)
+		t.budget.end(0)
 	}
 	return f
 }
@@ -92,7 +98,7 @@
 	if q.Resumable {
 		a.resumeAfter = q.Call.Turn.ResumeAfter
 	}
-	prompt := turns.Prompt(t.reservation.Chain, q.Call.Body)
+	prompt := turns.Prompt(t.chain, q.Call.Body)
 	cached := g.cachedEngine(q)
 	for a.remaining() && ctx.Err() == nil {
 		u, ok := g.pick(a, cached, cacheLoadBonus)
@@ -111,7 +117,7 @@
 			break
 		}
 	}
-	t.partition.Abort(t.reservation, t.deliveredTokens())
+	t.budget.end(t.deliveredTokens())
 	return g.finalFault(ctx, a)
 }
 
@@ -128,7 +134,7 @@
 // rememberEngine records the engine that caches the turn's prompt and answer.
 func (g *Gateway) rememberEngine(q *turnRequest, instance string) {
 	if parts := q.Call.Turn.Parts; len(parts) > 0 {
-		g.cacheEngines.set(turns.Ref{Workspace: q.Workspace, ID: "part/" + parts[len(parts)-1].ID}, instance)
+		g.cacheEngines.set(partRef(q.Workspace, parts[len(parts)-1].ID), instance)
 	}
 	g.cacheEngines.set(turns.Ref{Workspace: q.Workspace, ID: q.Call.ID}, instance)
 }
@@ -143,51 +149,60 @@
 	return u
 }
 
-// begin reserves the turn's tokens and loads its chain.
-func (t *turnExecution) begin(ctx context.Context) *fault.Fault {
+// begin reserves the turn's tokens in its partition and loads its chain.
+func (t *turnExecution) begin(ctx context.Context, p *owner.Partition) *fault.Fault {
 	g, q := t.gateway, t.turnRequest
 	previous := q.previous()
-	t.programStarted = previous.ID != "" || t.partition.HasProgram(q.program())
+	t.programStarted = previous.ID != "" || p.HasProgram(q.program())
 	if f := t.admit(ctx, time.Now()); f != nil {
 		return f
 	}
-	var err error
-	t.reservation, err = t.reserve(previous)
+	reservation, err := q.reserve(p, previous)
 	if errors.Is(err, owner.ErrLoading) {
-		if err = t.awaitChain(ctx, previous); err == nil {
-			t.reservation, err = t.reserve(previous)
+		if err = awaitChain(ctx, p, previous); err == nil {
+			reservation, err = q.reserve(p, previous)
 		}
 	}
 	if errors.Is(err, turns.ErrUnknownTurn) {
-		if f := g.importChain(ctx, t.partition, previous); f != nil {
+		if f := g.importChain(ctx, p, previous); f != nil {
 			return f
 		}
-		t.reservation, err = t.reserve(previous)
+		reservation, err = q.reserve(p, previous)
 	}
+	if err != nil {
+		return g.budgetFault(err, q.left())
+	}
+	t.budget, t.chain = &homeBudget{partition: p, reservation: reservation}, reservation.Chain
+	return nil
+}
+
+// budgetFault returns the fault of a turn that its program's home refused. Left is the time that the caller has.
+func (g *Gateway) budgetFault(err error, left time.Duration) *fault.Fault {
 	switch {
-	case err == nil:
-		return nil
 	case errors.Is(err, turns.ErrBudgetExhausted):
 		return g.refuse(fault.BudgetExhausted, "budget", "%v", err)
 	case errors.Is(err, owner.ErrStoreUnavailable):
 		return g.refuse(fault.LogUnavailable, "home", "%v", err).
-			WithRetryAfter(time.Duration(outageRetryFraction * float64(q.LeftMS) * float64(time.Millisecond)))
+			WithRetryAfter(time.Duration(outageRetryFraction * float64(left)))
 	case errors.Is(err, owner.ErrMoved):
 		return g.refuse(fault.ProgramMoved, "home", "%v", err)
 	}
 	return g.refuse(fault.Unready, "history", "%v", err).WithRetryAfter(shortRetry)
 }
 
+// left returns the time that the caller had left when the turn was sent to its home.
+func (q *turnRequest) left() time.Duration { return time.Duration(q.LeftMS) * time.Millisecond }
+
 // reserve begins the turn at its partition. Its patience is the time that the caller has left.
-func (t *turnExecution) reserve(previous turns.Ref) (owner.AdmittedTurn, error) {
-	return t.partition.Begin(t.claim(), previous, time.Duration(t.LeftMS)*time.Millisecond, time.Now())
+func (q *turnRequest) reserve(p *owner.Partition, previous turns.Ref) (owner.AdmittedTurn, error) {
+	return p.Begin(q.claim(), previous, q.left(), time.Now())
 }
 
 // awaitChain waits while the partition is being read after a change of owner.
-func (t *turnExecution) awaitChain(ctx context.Context, previous turns.Ref) error {
+func awaitChain(ctx context.Context, p *owner.Partition, previous turns.Ref) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
 	defer cancel()
-	return t.partition.AwaitChain(ctx, previous)
+	return p.AwaitChain(ctx, previous)
 }
 
 // admit refuses to start a program while the engines are full or the workspace's rate has no room for another program.
@@ -212,8 +227,9 @@
 
 // finish ends a turn that was answered in full. If the route keeps history, it returns once the turn is durable.
 func (t *turnExecution) finish(ctx context.Context, status int) *fault.Fault {
-	if status != http.StatusOK || !t.KeepsHistory {
-		t.partition.Abort(t.reservation, t.deliveredTokens())
+	home, ok := t.budget.(*homeBudget)
+	if status != http.StatusOK || !t.KeepsHistory || !ok {
+		t.budget.end(t.deliveredTokens())
 		return nil
 	}
 	now := time.Now()
@@ -222,12 +238,12 @@
 		Ref: turns.Ref{Workspace: t.Workspace, ID: t.Call.ID}, Program: t.Call.Program, Previous: t.Call.Turn.Previous,
 		Input: t.Call.Body, Output: slices.Clone(t.scan.Data()),
 	}.WithRetention(time.Duration(t.RetentionMS)*time.Millisecond, reportBy, now)
-	ticket, err := t.partition.Finish(t.reservation, completed, t.deliveredTokens(), now)
+	ticket, err := home.partition.Finish(home.reservation, completed, t.deliveredTokens(), now)
 	if err == nil {
-		err = t.partition.Await(ctx, ticket)
+		err = home.partition.Await(ctx, ticket)
 	}
 	if errors.Is(err, owner.ErrMoved) {
-		err = t.gateway.handOverTurn(ctx, t.Partition, append(t.reservation.Chain, completed))
+		err = t.gateway.handOverTurn(ctx, t.Partition, append(t.chain, completed))
 	}
 	if err != nil {
 		return t.gateway.refuse(fault.UpstreamFailed, "history", "the turn could not be stored: %v", err).
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -49,9 +49,12 @@
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	if j.isTurn() {
+	switch {
+	case j.isTurn() && g.runsLocally(j):
+		f = g.serveLocalTurn(ctx, j, w)
+	case j.isTurn():
 		f = g.serveTurn(ctx, j, w)
-	} else {
+	default:
 		f = g.withRateToken(ctx, j.workspace, func() *fault.Fault { return g.serveSingle(ctx, j, w) })
 	}
 	g.finish(c, j, f, began)
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -30,8 +30,8 @@
 ) (again bool, f *fault.Fault) {
 	defer resp.Close()
 	g := t.gateway
-	if err := t.partition.Await(ctx, t.reservation.Ticket); err != nil {
-		t.partition.Abort(t.reservation, t.deliveredTokens())
+	if err := t.budget.await(ctx); err != nil {
+		t.budget.end(t.deliveredTokens())
 		g.recordFailure(ctx, a, u, roster.Abandoned, err)
 		return false, g.refuse(fault.UpstreamFailed, "budget", "%v", err).WithOutcome(fault.Ran)
 	}
@@ -60,7 +60,7 @@
 		if t.resume(ctx, a) {
 			return true, nil
 		}
-		t.partition.Abort(t.reservation, t.deliveredTokens())
+		t.budget.end(t.deliveredTokens())
 		return false, g.refuse(fault.UpstreamFailed, "stream", "after %d events: %v", t.scan.EventCount(), err).
 			WithOutcome(fault.Ran)
 	}
@@ -168,7 +168,7 @@
 }
 
 func (t *turnExecution) abandon(u roster.Upstream, err error) *fault.Fault {
-	t.partition.Abort(t.reservation, t.deliveredTokens())
+	t.budget.end(t.deliveredTokens())
 	t.gateway.roster.Done(u.Instance, roster.Abandoned, time.Now())
 	return t.gateway.callerGone(err)
 }
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -323,7 +323,7 @@
 func (q *turnRequest) caches() []turns.Ref {
 	var out []turns.Ref
 	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
-		out = append(out, turns.Ref{Workspace: q.Workspace, ID: "part/" + q.Call.Turn.Parts[i].ID})
+		out = append(out, partRef(q.Workspace, q.Call.Turn.Parts[i].ID))
 	}
 	if q.Call.Turn.Previous != "" {
 		out = append(out, q.previous())
--- /dev/null
+++ b/internal/role/owner/grant.go
@@ -0,0 +1,78 @@
+package owner
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/state/store"
+	"galenaward.example/galenaward/internal/state/turns"
+)
+
+// Grant is a number of tokens that another process may send to the callers of a program.
+type Grant struct {
+	ID     string
+	Tokens int64
+	// Ticket must be confirmed, see Await, before the tokens may be used; 0 if they may be used at once.
+	Ticket int64
+	// Started says that the program used tokens before.
+	Started bool
+}
+
+// Grant reserves tokens of the program's budget for the holder, whose MaxTokens are those of one turn. Patience is used
+// as in Begin.
+func (p *Partition) Grant(c turns.Claim, holder string, patience time.Duration, now time.Time) (Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lostCause != nil || p.closing {
+		return Grant{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
+	}
+	unavailable := p.storeUnavailable(now)
+	g := Grant{Started: p.ledger.Started(c.Program)}
+	id, tokens, rec, ready, err := p.ledger.Grant(c, holder, unavailable, now)
+	if err != nil {
+		return Grant{}, err
+	}
+	if rec != nil {
+		p.programTickets[c.Program] = p.enqueue([]store.Record{*rec}, now)
+	}
+	g.ID, g.Tokens = p.grantPrefix()+id, tokens
+	if !ready {
+		g.Ticket = p.programTickets[c.Program]
+	}
+	if unavailable && !ready && now.Sub(p.pendingSince) > patience {
+		_ = p.ledger.Return(id, tokens, true, now) // The grant is open.
+		return Grant{}, errors.Wrapf(ErrStoreUnavailable, "partition %d for %s",
+			p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
+	}
+	return g, nil
+}
+
+// grantPrefix distinguishes the grants of this holder from those of earlier ones.
+func (p *Partition) grantPrefix() string { return strconv.FormatInt(p.epoch, 36) + "-" }
+
+// ReturnGrant takes back tokens of a grant that were not used. Closed means that no more of it will be used. Grants of
+// earlier holders are ignored: their tokens are part of the ceilings that this holder counts as spent.
+func (p *Partition) ReturnGrant(id string, unused int64, closed bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id, ok := strings.CutPrefix(id, p.grantPrefix()); ok && !p.closing {
+		_ = p.ledger.Return(id, unused, closed, now) // An expired grant has been counted as spent.
+	}
+}
+
+// GrantHolders returns the processes that hold grants of the program.
+func (p *Partition) GrantHolders(program turns.Ref) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.GrantHolders(program)
+}
+
+// OpenGrants returns the number of open grants and their tokens.
+func (p *Partition) OpenGrants() (grants int, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.OpenGrants()
+}
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -24,6 +24,8 @@
 	byKey map[string]int
 	// byName maps the name of a service to its index.
 	byName map[string]int
+	// keepsHistory is set if a route keeps history.
+	keepsHistory bool
 }
 
 // Kind is the kind of a route. It determines whether requests may be repeated.
@@ -113,8 +115,10 @@
 	l.byHost = make(map[string][]int)
 	l.byKey = make(map[string]int)
 	l.byName = make(map[string]int)
+	l.keepsHistory = false
 	for i, r := range l.Routes {
 		l.byHost[r.Host] = append(l.byHost[r.Host], i)
+		l.keepsHistory = l.keepsHistory || r.KeepsHistory
 	}
 	for _, list := range l.byHost {
 		slices.SortStableFunc(list, func(a, b int) int { return len(l.Routes[b].Prefix) - len(l.Routes[a].Prefix) })
@@ -177,6 +181,9 @@
 // workspaces.
 func (l *Layout) RequiresKeys() bool { return len(l.Workspaces) > 0 }
 
+// KeepsHistory reports whether a route keeps history.
+func (l *Layout) KeepsHistory() bool { return l.keepsHistory }
+
 // Keys returns the valid keys in sorted order.
 func (l *Layout) Keys() []string { return slices.Sorted(maps.Keys(l.byKey)) }
 
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -60,6 +60,15 @@
 	Uncertain bool
 	// recordedUncertain says that the account's newest record is marked as uncertain.
 	recordedUncertain bool
+	// recorded is set once a record of the account is known to be durable.
+	recorded bool
+	// recordedDeaths is handover.deaths as of the account's newest record.
+	recordedDeaths int64
+	// uncounted is the number of turns, beyond the one that Uncertain stands for, that earlier holders may have granted
+	// without a durable record. The next grant counts them as spent.
+	uncounted int64
+	// assumed is the part of Spent that earlier holders may have sent; the program may as well be new.
+	assumed int64
 	// ExpiresAt is the Unix time in milliseconds until which the account is kept.
 	ExpiresAt int64
 }
@@ -71,12 +80,19 @@
 	// keptUntil is when each turn expires here: the latest expiry of the turn and of all turns that continue it. It is
 	// compared by elapsed time, so that a step of the clock does not end a retention early.
 	keptUntil map[Ref]time.Time
+	// grants holds the open grants by their IDs. Their tokens are part of Reserved.
+	grants map[string]Grant
+	// nextGrant numbers the grants of this ledger.
+	nextGrant int64
 	handover
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{turns: make(map[Ref]Turn), accounts: make(map[Ref]Account), keptUntil: make(map[Ref]time.Time)}
+	return &Ledger{
+		turns: make(map[Ref]Turn), accounts: make(map[Ref]Account), keptUntil: make(map[Ref]time.Time),
+		grants: make(map[string]Grant),
+	}
 }
 
 // Claim is a request to run a turn.
@@ -91,6 +107,16 @@
 	// Recorded is set if Finish will record the turn, which also records a ceiling that covers the program's next turn.
 	// For other turns, the record that Reserve returns covers later turns as well, so that not every turn needs one.
 	Recorded bool
+	// TurnTokens is set for grants, whose MaxTokens cover several turns: the maximum number of tokens of one turn.
+	TurnTokens int64
+}
+
+// turnTokens returns the maximum number of tokens that one turn uses.
+func (c Claim) turnTokens() int64 {
+	if c.TurnTokens > 0 {
+		return c.TurnTokens
+	}
+	return c.MaxTokens
 }
 
 // reservedAheadTurns is how many later turns the record of an unrecorded turn covers.
@@ -99,7 +125,7 @@
 // reserveAhead returns how many tokens beyond used a record should cover. They count as spent after a takeover, so at
 // most half of the remaining budget is reserved ahead.
 func (c Claim) reserveAhead(used int64) int64 {
-	n := reservedAheadTurns * c.MaxTokens
+	n := reservedAheadTurns * c.turnTokens()
 	if c.Budget > 0 {
 		n = min(n, (c.Budget-used)/2)
 	}
@@ -115,7 +141,7 @@
 // Reserve reserves tokens for a turn. It returns the record that must be durable before the first token is sent to the
 // caller, unless Allowed was true before, or nil if an earlier record already covers the turn.
 func (l *Ledger) Reserve(c Claim, now time.Time) (*store.Record, error) {
-	p := l.account(c.Program, now)
+	p := l.account(c, now)
 	used := p.Spent + p.Reserved + c.MaxTokens
 	if c.Budget > 0 && used > c.Budget {
 		return nil, errors.Wrapf(ErrBudgetExhausted, "program %q: %d of %d tokens spent, %d reserved, %d requested",
@@ -131,16 +157,27 @@
 	if !c.Recorded {
 		ceiling += c.reserveAhead(used)
 	}
+	if c.isGrant() && !p.recorded {
+		// Whatever is granted before a record is durable must be covered by the first one that is.
+		ceiling = max(ceiling, p.Confirmed+c.unrecordedLimit())
+	}
 	r := l.record(c.Program, p, ceiling)
 	return &r, nil
 }
 
-// account returns the program's account. A program without one may have used a turn at a holder that died before its
-// record was durable.
-func (l *Ledger) account(ref Ref, now time.Time) Account {
-	p, known := l.accounts[ref]
-	if !known {
-		p.Uncertain = now.UnixMilli() < l.unrecordedUntil
+// account returns the program's account. A program without one may have used tokens at each holder that died before a
+// record of it was durable. The first grant counts what earlier holders may have sent, but for one turn.
+func (l *Ledger) account(c Claim, now time.Time) Account {
+	p, known := l.accounts[c.Program]
+	uncounted := p.uncounted * c.turnTokens()
+	if deaths := l.recentDeaths(now); !known && deaths > 0 {
+		p.Uncertain = true
+		uncounted = deaths*c.unrecordedLimit() - c.turnTokens()
+		p.uncounted = (uncounted + c.turnTokens() - 1) / max(1, c.turnTokens())
+	}
+	if c.isGrant() {
+		p.Spent, p.Ceiling, p.Confirmed, p.uncounted = p.Spent+uncounted, p.Ceiling+uncounted, p.Confirmed+uncounted, 0
+		p.assumed += uncounted
 	}
 	return p
 }
@@ -150,15 +187,19 @@
 	p.Ceiling, p.recordedUncertain = ceiling, p.Uncertain
 	p.pending = append(p.pending[:len(p.pending):len(p.pending)], ceiling)
 	l.accounts[ref] = p
-	return encodeAccount(ref, p)
+	return encodeAccount(ref, p, l.deaths-p.uncounted)
 }
 
 // Allowed reports whether the tokens of a turn that is reserved next may be sent before any further record is confirmed.
 func (l *Ledger) Allowed(c Claim, now time.Time) bool {
-	p := l.account(c.Program, now)
+	p := l.account(c, now)
 	limit := p.durable()
-	if l.opened && !p.Uncertain {
-		limit += c.MaxTokens
+	switch {
+	case !l.opened:
+	case c.isGrant() && !p.recorded:
+		limit = p.Confirmed + c.unrecordedLimit()
+	case c.isGrant() || !p.Uncertain:
+		limit += c.turnTokens()
 	}
 	return p.Spent+p.Reserved+c.MaxTokens <= limit
 }
@@ -181,7 +222,7 @@
 			l.opened = l.isOpening(r.Value)
 		case kind == programKind:
 			if p, ok := l.accounts[ref]; ok && len(p.pending) > 0 {
-				p.Confirmed, p.pending = p.pending[0], p.pending[1:]
+				p.Confirmed, p.pending, p.recorded = p.pending[0], p.pending[1:], true
 				l.accounts[ref] = p
 			}
 		}
@@ -338,6 +379,7 @@
 func (l *Ledger) Expire(now time.Time) []store.Record {
 	var out []store.Record
 	at := now.UnixMilli()
+	l.expireGrants(now)
 	for ref, until := range l.keptUntil {
 		if until.Before(now) {
 			out = append(out, store.Record{Key: turnKey(l.turns[ref])})
