gate: a grant holds what the next turn lacks

Change: the first turn asks for its own tokens, and the end of a turn for what it used; accounts keep the rule for records that turns at the home follow. A cached prompt in another data centre does not outweigh the distance any more.

--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -28,50 +28,75 @@
 	lastUsed  time.Time
 	// started says that the program used tokens before, here or elsewhere.
 	started bool
-	// renewing says that a request for more tokens is in progress that no turn waits for.
-	renewing bool
+	// asking is closed when the request to the home that is in progress ends; nil if there is none.
+	asking chan struct{}
 }
 
 func newAllowances() *allowances { return &allowances{m: make(map[turns.Ref]*programAllowance)} }
 
-// reserve reserves the tokens of a turn. Renew means that more should be asked for before the next turn.
-func (a *allowances) reserve(ref turns.Ref, tokens int64, now time.Time) (ok, started, renew bool) {
+func (a *allowances) program(ref turns.Ref) *programAllowance {
+	p, ok := a.m[ref]
+	if !ok {
+		p = &programAllowance{}
+		a.m[ref] = p
+	}
+	return p
+}
+
+// reservation is the outcome of allowances.reserve.
+type reservation struct {
+	// ok means that the tokens are reserved. Started says that the program had started before.
+	ok, started bool
+	// missing is the number of tokens to ask the home for. If it is zero and ok is not set, a request is in progress that
+	// ends when wait is closed.
+	missing int64
+	wait    <-chan struct{}
+}
+
+// reserve reserves the tokens of a turn, or tells what to do first. A caller that is told to ask must call answered.
+func (a *allowances) reserve(ref turns.Ref, tokens int64, now time.Time) reservation {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p, known := a.m[ref]
-	if !known {
-		return false, false, false
-	}
-	if p.value, ok = p.value.Reserve(tokens); !ok {
-		return false, p.started, false
+	p := a.program(ref)
+	p.lastUsed = now
+	var ok bool
+	if p.value, ok = p.value.Reserve(tokens); ok {
+		started := p.started
+		p.started = true
+		return reservation{ok: true, started: started}
 	}
-	started = p.started
-	p.started, p.lastUsed = true, now
-	if p.value.Free() < tokens && !p.renewing {
-		p.renewing, renew = true, true
+	if p.asking != nil {
+		return reservation{wait: p.asking}
 	}
-	return true, started, renew
+	p.asking = make(chan struct{})
+	return reservation{missing: tokens - p.value.Free()}
 }
 
-// add records a grant.
-func (a *allowances) add(ref turns.Ref, partition int, g grantAnswer, now time.Time) {
+// shortOf returns how many tokens the program lacks for its next turn, unless a request is in progress. A caller that is
+// told a positive number must call answered.
+func (a *allowances) shortOf(ref turns.Ref, tokens int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, ok := a.m[ref]
-	if !ok {
-		p = &programAllowance{}
-		a.m[ref] = p
+	if !ok || p.asking != nil || p.value.Running() || p.value.Free() >= tokens {
+		return 0
 	}
-	p.value, p.partition, p.lastUsed = p.value.WithGrant(g.ID, g.Tokens), partition, now
-	p.started = p.started || g.Started
+	p.asking = make(chan struct{})
+	return tokens - p.value.Free()
 }
 
-// renewed records the end of a request that no turn waited for.
-func (a *allowances) renewed(ref turns.Ref) {
+// answered ends a request to the home, which gave the grant or none.
+func (a *allowances) answered(ref turns.Ref, partition int, tokens int64, g *grantAnswer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if p, ok := a.m[ref]; ok {
-		p.renewing = false
+	p := a.program(ref)
+	if p.asking != nil {
+		close(p.asking)
+		p.asking = nil
+	}
+	if g != nil {
+		p.value, p.partition = p.value.WithGrant(g.ID, tokens), partition
+		p.started = p.started || g.Started
 	}
 }
 
@@ -79,10 +104,7 @@
 func (a *allowances) end(ref turns.Ref, reserved, used int64, startedBefore bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p, ok := a.m[ref]
-	if !ok {
-		return
-	}
+	p := a.program(ref)
 	p.value, p.lastUsed = p.value.WithEnd(reserved, used), time.Now()
 	if used == 0 && !startedBefore && !p.value.Running() {
 		p.started = false
@@ -98,7 +120,7 @@
 		return 0, nil
 	}
 	p.value, returns = p.value.Release()
-	if p.value.Empty() && !p.renewing {
+	if p.value.Empty() && p.asking == nil {
 		delete(a.m, ref)
 	}
 	return p.partition, returns
@@ -109,7 +131,7 @@
 	a.mu.Lock()
 	var idle []turns.Ref
 	for ref, p := range a.m {
-		if p.lastUsed.Before(since) && !p.value.Running() {
+		if p.lastUsed.Before(since) && !p.value.Running() && p.asking == nil {
 			idle = append(idle, ref)
 		}
 	}
@@ -123,13 +145,6 @@
 	return out
 }
 
-// len returns the number of programs with an allowance.
-func (a *allowances) len() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.m)
-}
-
 // returnIdle returns the tokens of programs that ran no turn since the given time to their homes. Tokens whose return
 // does not arrive count as spent.
 func (g *Gateway) returnIdle(ctx context.Context, since time.Time) {
--- a/internal/role/gate/grants.go
+++ b/internal/role/gate/grants.go
@@ -31,7 +31,9 @@
 		Workspace string `json:"workspace"`
 		Program   string `json:"program"`
 		Partition int    `json:"partition"`
-		// Budget is the program's budget, TurnTokens the maximum number of tokens of one turn.
+		// Tokens is the number of tokens wanted. Budget is the program's budget, TurnTokens the maximum number of tokens of
+		// one turn.
+		Tokens     int64 `json:"tokens"`
 		Budget     int64 `json:"budget"`
 		TurnTokens int64 `json:"turn_tokens"`
 		// AccountMS is how long the account is kept.
@@ -47,10 +49,9 @@
 		// Cached names the engine that caches a part, as far as the gateway knows.
 		Cached *cachedPart `json:"cached,omitempty"`
 	}
-	// grantAnswer holds the grant. Started says that the program used tokens before.
+	// grantAnswer holds the ID of the grant. Started says that the program used tokens before.
 	grantAnswer struct {
 		ID      string      `json:"id"`
-		Tokens  int64       `json:"tokens"`
 		Started bool        `json:"started,omitempty"`
 		Cached  *cachedPart `json:"cached,omitempty"`
 	}
@@ -90,10 +91,10 @@
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
 	if err := g.awaitGrant(ctx, p, grant); err != nil {
-		p.ReturnGrant(grant.ID, grant.Tokens, true, time.Now())
+		p.ReturnGrant(grant.ID, q.Tokens, true, time.Now())
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
-	return grantAnswer{ID: grant.ID, Tokens: grant.Tokens, Started: grant.Started, Cached: g.knownPart(q)}, nil
+	return grantAnswer{ID: grant.ID, Started: grant.Started, Cached: g.knownPart(q)}, nil
 }
 
 // awaitGrant waits until the record of the grant is durable.
@@ -114,7 +115,7 @@
 // and do not use.
 func (g *Gateway) grantOrRecall(ctx context.Context, p *owner.Partition, q grantRequest) (owner.Grant, error) {
 	c := turns.Claim{
-		Program: q.program(), Budget: q.Budget, MaxTokens: q.TurnTokens,
+		Program: q.program(), Budget: q.Budget, MaxTokens: q.Tokens, TurnTokens: q.TurnTokens,
 		AccountTTL: time.Duration(q.AccountMS) * time.Millisecond,
 	}
 	patience := time.Duration(q.LeftMS) * time.Millisecond
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -29,9 +29,9 @@
 
 // localBudget is a reservation in this process's allowance of a program.
 type localBudget struct {
-	allowances *allowances
-	program    turns.Ref
-	tokens     int64
+	gateway *Gateway
+	turn    *turnRequest
+	tokens  int64
 	// started says that the program had started before this turn.
 	started bool
 }
@@ -39,13 +39,24 @@
 // await returns at once: what a home grants is durable.
 func (*localBudget) await(context.Context) error { return nil }
 
-func (b *localBudget) end(tokens int64) { b.allowances.end(b.program, b.tokens, tokens, b.started) }
+// end also asks for what the program lacks for its next turn, so that the turn does not wait for it.
+func (b *localBudget) end(tokens int64) {
+	program := b.turn.program()
+	b.gateway.allowances.end(program, b.tokens, tokens, b.started)
+	if tokens == 0 {
+		return
+	}
+	if missing := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
+		b.gateway.renewAsync(b.turn, missing)
+	}
+}
 
 // serveLocalTurn runs a turn without kept history within an allowance of its program's budget.
 func (g *Gateway) serveLocalTurn(ctx context.Context, j *job, w Reply) *fault.Fault {
 	q := g.turnRequest(j)
 	q.LeftMS = time.Until(j.deadline).Milliseconds()
 	a := q.attempts(j.deadline)
+	a.stayLocal = true
 	if f := g.checkQuarantine(a.job); f != nil {
 		return f
 	}
@@ -69,34 +80,40 @@
 	return t.runWithinRate(ctx, a)
 }
 
-// reserveLocally reserves the turn's tokens in this process's allowance and asks the home for more if they don't suffice.
+// reserveLocally reserves the turn's tokens in this process's allowance and asks the home for what is missing.
 func (g *Gateway) reserveLocally(ctx context.Context, q *turnRequest) (*localBudget, *fault.Fault) {
-	b := &localBudget{allowances: g.allowances, program: q.program(), tokens: q.Call.Turn.MaxTokens}
+	b := &localBudget{gateway: g, turn: q, tokens: q.Call.Turn.MaxTokens}
 	for {
-		ok, started, renew := g.allowances.reserve(b.program, b.tokens, time.Now())
-		if renew {
-			g.renewAsync(q)
-		}
-		if ok {
-			b.started = started
+		r := g.allowances.reserve(q.program(), b.tokens, time.Now())
+		switch {
+		case r.ok:
+			b.started = r.started
 			return b, nil
+		case r.missing > 0:
+			answer, f := g.askHome(ctx, q, r.missing)
+			if f != nil {
+				g.allowances.answered(q.program(), q.Partition, 0, nil)
+				return nil, f
+			}
+			if c := answer.Cached; c != nil {
+				g.cacheEngines.set(partRef(q.Workspace, c.Part), c.Instance)
+			}
+			g.allowances.answered(q.program(), q.Partition, r.missing, &answer)
+		default:
+			select {
+			case <-r.wait:
+			case <-ctx.Done():
+				return nil, g.timeoutFault("home", false)
+			}
 		}
-		answer, f := g.askHome(ctx, q)
-		if f != nil {
-			return nil, f
-		}
-		if c := answer.Cached; c != nil {
-			g.cacheEngines.set(partRef(q.Workspace, c.Part), c.Instance)
-		}
-		g.allowances.add(b.program, q.Partition, answer, time.Now())
 	}
 }
 
 // askHome asks the program's home for tokens, and waits while the partition changes hands.
-func (g *Gateway) askHome(ctx context.Context, q *turnRequest) (grantAnswer, *fault.Fault) {
+func (g *Gateway) askHome(ctx context.Context, q *turnRequest, tokens int64) (grantAnswer, *fault.Fault) {
 	waitUntil := time.Now().Add(ownerWaitTimeout)
 	for tries := 1; ; tries++ {
-		answer, f := g.askGrant(ctx, q.grantRequest(g))
+		answer, f := g.askGrant(ctx, q.grantRequest(g, tokens))
 		if f == nil || !shouldRetryOwner(f) {
 			g.unowned.markOwned(q.Partition)
 			return answer, f
@@ -144,11 +161,11 @@
 	return answer, g.refuse(fault.PeerUnreachable, "home", "%v", err)
 }
 
-// grantRequest returns the request for tokens of the turn's program. It is made for each try, since time passes.
-func (q *turnRequest) grantRequest(g *Gateway) grantRequest {
+// grantRequest returns the request for tokens of the turn's program.
+func (q *turnRequest) grantRequest(g *Gateway, tokens int64) grantRequest {
 	r := grantRequest{
 		Workspace: q.Workspace, Program: q.Call.Program, Partition: q.Partition, Budget: q.Call.Turn.Budget,
-		TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
+		Tokens: tokens, TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
 		From: g.settings.PeerAddress(),
 	}
 	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
@@ -163,16 +180,17 @@
 }
 
 // renewAsync asks for tokens that the program's next turn is expected to need.
-func (g *Gateway) renewAsync(q *turnRequest) {
+func (g *Gateway) renewAsync(q *turnRequest, tokens int64) {
 	g.group.Go(func(ctx context.Context) error {
-		defer g.allowances.renewed(q.program())
-		r := q.grantRequest(g)
+		r := q.grantRequest(g, tokens)
 		r.Ahead = true
 		answer, f := g.askGrant(ctx, r)
-		if f == nil {
-			g.allowances.add(q.program(), q.Partition, answer, time.Now())
+		if f != nil {
+			g.allowances.answered(q.program(), q.Partition, 0, nil) // The next turn asks again.
+			return nil
 		}
-		return nil // The next turn asks again.
+		g.allowances.answered(q.program(), q.Partition, tokens, &answer)
+		return nil
 	})
 }
 
--- a/internal/role/owner/grant.go
+++ b/internal/role/owner/grant.go
@@ -13,40 +13,37 @@
 
 // Grant is a number of tokens that another process may send to the callers of a program.
 type Grant struct {
-	ID     string
-	Tokens int64
+	ID string
 	// Ticket must be confirmed, see Await, before the tokens may be used; 0 if they may be used at once.
 	Ticket int64
 	// Started says that the program used tokens before.
 	Started bool
 }
 
-// Grant reserves tokens of the program's budget for the holder, whose MaxTokens are those of one turn. Patience is used
-// as in Begin.
+// Grant reserves the claim's tokens for another process. Patience is used as in Begin.
 func (p *Partition) Grant(c turns.Claim, holder string, patience time.Duration, now time.Time) (Grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lostCause != nil || p.closing {
 		return Grant{}, errors.Wrapf(ErrMoved, "partition %d", p.id)
 	}
-	unavailable := p.storeUnavailable(now)
+	allowed := p.ledger.Allowed(c, now)
+	if p.storeUnavailable(now) && now.Sub(p.pendingSince) > patience && !allowed {
+		return Grant{}, errors.Wrapf(ErrStoreUnavailable, "partition %d for %s",
+			p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
+	}
 	g := Grant{Started: p.ledger.Started(c.Program)}
-	id, tokens, rec, ready, err := p.ledger.Grant(c, holder, unavailable, now)
+	id, rec, err := p.ledger.Grant(c, holder, now)
 	if err != nil {
 		return Grant{}, err
 	}
 	if rec != nil {
 		p.programTickets[c.Program] = p.enqueue([]store.Record{*rec}, now)
 	}
-	g.ID, g.Tokens = p.grantPrefix()+id, tokens
-	if !ready {
+	g.ID = p.grantPrefix() + id
+	if !allowed {
 		g.Ticket = p.programTickets[c.Program]
 	}
-	if unavailable && !ready && now.Sub(p.pendingSince) > patience {
-		_ = p.ledger.Return(id, tokens, true, now) // The grant is open.
-		return Grant{}, errors.Wrapf(ErrStoreUnavailable, "partition %d for %s",
-			p.id, now.Sub(p.pendingSince).Round(time.Millisecond))
-	}
 	return g, nil
 }
 
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -83,6 +83,9 @@
 	prefixBonusPerToken = 1.6e-5
 	// maxPrefixBonus keeps the advantage smaller than remotePenalty.
 	maxPrefixBonus = 0.2
+	// maxRemoteCacheBonus keeps the advantage of a cache in another data centre smaller than remotePenalty for requests
+	// that stay local.
+	maxRemoteCacheBonus = 0.2
 	// scoreJitter is the range, in requests per slot, of the random part of a score, so that entries do not all pick
 	// the same upstream.
 	scoreJitter = 0.04
@@ -237,6 +240,9 @@
 	// CacheBonus is how much lower the load, in requests per slot, of another instance must be for it to be preferred
 	// to CachedOn.
 	CacheBonus float64
+	// StayLocal means that the cache does not outweigh the distance to another data centre: the prompt would have to be
+	// sent there.
+	StayLocal bool
 	// SharedPrefix identifies a prompt prefix that many programs share, SharedPrefixTokens is its length; empty for
 	// none.
 	SharedPrefix       string
@@ -297,7 +303,7 @@
 		score += remotePenalty
 	}
 	if s.Instance == c.CachedOn {
-		score -= c.CacheBonus
+		score -= s.cacheBonus(c)
 	}
 	if c.SharedPrefix != "" && s.cachesPrefix(c.SharedPrefix) {
 		score -= min(maxPrefixBonus, prefixBonusPerToken*float64(c.SharedPrefixTokens))
@@ -305,6 +311,14 @@
 	return score
 }
 
+// cacheBonus returns the advantage of the upstream that holds the program's cache.
+func (s *upstreamState) cacheBonus(c Criteria) float64 {
+	if c.StayLocal && s.DataCentre != c.DataCentre {
+		return min(c.CacheBonus, maxRemoteCacheBonus)
+	}
+	return c.CacheBonus
+}
+
 // cachesPrefix reports whether the engine is one of those that should cache the shared prompt prefix. All processes
 // compute the same result without coordination.
 func (s *upstreamState) cachesPrefix(prefix string) bool {
--- a/internal/state/turns/handover.go
+++ b/internal/state/turns/handover.go
@@ -24,46 +24,18 @@
 	// opened is set once the record that Open returned is durable. Before, the store may still say that all accounts are
 	// exact, and no turn beyond the confirmed records is allowed.
 	opened bool
-	// deaths counts the holders that ended without recording all accounts exactly.
-	deaths int64
-	// recent holds, for each of these deaths, the Unix time in milliseconds before which a program without an account may
-	// have used tokens at that holder. Entries that have passed are removed with the next death.
-	recent []int64
-}
-
-// recentDeaths returns the number of dead holders at which a program without an account may have used tokens.
-func (h handover) recentDeaths(now time.Time) int64 {
-	n := int64(0)
-	for _, until := range h.recent {
-		if now.UnixMilli() < until {
-			n++
-		}
-	}
-	return n
-}
-
-// addDeath counts one more holder that ended without recording all accounts exactly.
-func (h *handover) addDeath(now time.Time) {
-	h.deaths++
-	at := now.UnixMilli()
-	h.recent = append(slices.DeleteFunc(slices.Clone(h.recent), func(until int64) bool { return until <= at }), h.unrecordedUntil)
 }
 
 // handoverRecord is the stored form of a handover.
 type handoverRecord struct {
 	Complete        bool  `json:"complete"`
 	UnrecordedUntil int64 `json:"unrecorded_until"`
-	Deaths          int64 `json:"deaths,omitempty"`
-	// Recent is handover.recent.
-	Recent []int64 `json:"recent,omitempty"`
 }
 
 func (h handover) encode(complete bool) store.Record {
-	v, err := json.Marshal(handoverRecord{
-		Complete: complete, UnrecordedUntil: h.unrecordedUntil, Deaths: h.deaths, Recent: h.recent,
-	})
+	v, err := json.Marshal(handoverRecord{Complete: complete, UnrecordedUntil: h.unrecordedUntil})
 	if err != nil {
-		panic(err) // A struct of integers and a boolean.
+		panic(err) // A struct of an integer and a boolean.
 	}
 	return store.Record{Key: handoverKind, Value: v}
 }
@@ -74,7 +46,6 @@
 		return errors.Wrap(err, "decode handover")
 	}
 	h.complete, h.unrecordedUntil = r.Complete, r.UnrecordedUntil
-	h.deaths, h.recent = r.Deaths, r.Recent
 	return nil
 }
 
@@ -88,27 +59,15 @@
 func (l *Ledger) Open(empty bool, now time.Time) store.Record {
 	if !empty && !l.complete {
 		l.unrecordedUntil = max(l.unrecordedUntil, now.Add(unrecordedTTL).UnixMilli())
-		for _, p := range l.accounts {
+		for ref, p := range l.accounts {
+			p.Uncertain = true
+			l.accounts[ref] = p
 			l.unrecordedUntil = max(l.unrecordedUntil, p.ExpiresAt)
 		}
-		l.addDeath(now)
-	}
-	for ref, p := range l.accounts {
-		l.accounts[ref] = p.withDeaths(l.deaths)
 	}
 	return l.encode(false)
 }
 
-// withDeaths returns a restored account. Every holder since its record may have granted one turn without a record.
-func (p Account) withDeaths(deaths int64) Account {
-	turns := max(0, deaths-p.recordedDeaths)
-	if p.Uncertain {
-		turns++
-	}
-	p.Uncertain, p.uncounted = turns > 0, max(0, turns-1)
-	return p
-}
-
 // maxExactAccounts bounds the accounts that Close records only because they used less than their ceiling. The accounts
 // that were used last come first; for the others the next holder counts their ceilings.
 const maxExactAccounts = 4000
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -60,15 +60,6 @@
 	Uncertain bool
 	// recordedUncertain says that the account's newest record is marked as uncertain.
 	recordedUncertain bool
-	// recorded is set once a record of the account is known to be durable.
-	recorded bool
-	// recordedDeaths is handover.deaths as of the account's newest record.
-	recordedDeaths int64
-	// uncounted is the number of turns, beyond the one that Uncertain stands for, that earlier holders may have granted
-	// without a durable record. The next grant counts them as spent.
-	uncounted int64
-	// assumed is the part of Spent that earlier holders may have sent; the program may as well be new.
-	assumed int64
 	// ExpiresAt is the Unix time in milliseconds until which the account is kept.
 	ExpiresAt int64
 }
@@ -107,7 +98,8 @@
 	// Recorded is set if Finish will record the turn, which also records a ceiling that covers the program's next turn.
 	// For other turns, the record that Reserve returns covers later turns as well, so that not every turn needs one.
 	Recorded bool
-	// TurnTokens is set for grants, whose MaxTokens cover several turns: the maximum number of tokens of one turn.
+	// TurnTokens is set for grants, whose MaxTokens may be those of more or less than a turn: the maximum number of tokens
+	// of one turn.
 	TurnTokens int64
 }
 
@@ -141,7 +133,7 @@
 // Reserve reserves tokens for a turn. It returns the record that must be durable before the first token is sent to the
 // caller, unless Allowed was true before, or nil if an earlier record already covers the turn.
 func (l *Ledger) Reserve(c Claim, now time.Time) (*store.Record, error) {
-	p := l.account(c, now)
+	p := l.account(c.Program, now)
 	used := p.Spent + p.Reserved + c.MaxTokens
 	if c.Budget > 0 && used > c.Budget {
 		return nil, errors.Wrapf(ErrBudgetExhausted, "program %q: %d of %d tokens spent, %d reserved, %d requested",
@@ -157,27 +149,16 @@
 	if !c.Recorded {
 		ceiling += c.reserveAhead(used)
 	}
-	if c.isGrant() && !p.recorded {
-		// Whatever is granted before a record is durable must be covered by the first one that is.
-		ceiling = max(ceiling, p.Confirmed+c.unrecordedLimit())
-	}
 	r := l.record(c.Program, p, ceiling)
 	return &r, nil
 }
 
-// account returns the program's account. A program without one may have used tokens at each holder that died before a
-// record of it was durable. The first grant counts what earlier holders may have sent, but for one turn.
-func (l *Ledger) account(c Claim, now time.Time) Account {
-	p, known := l.accounts[c.Program]
-	uncounted := p.uncounted * c.turnTokens()
-	if deaths := l.recentDeaths(now); !known && deaths > 0 {
-		p.Uncertain = true
-		uncounted = deaths*c.unrecordedLimit() - c.turnTokens()
-		p.uncounted = (uncounted + c.turnTokens() - 1) / max(1, c.turnTokens())
-	}
-	if c.isGrant() {
-		p.Spent, p.Ceiling, p.Confirmed, p.uncounted = p.Spent+uncounted, p.Ceiling+uncounted, p.Confirmed+uncounted, 0
-		p.assumed += uncounted
+// account returns the program's account. A program without one may have used a turn at a holder that died before its
+// record was durable.
+func (l *Ledger) account(ref Ref, now time.Time) Account {
+	p, known := l.accounts[ref]
+	if !known {
+		p.Uncertain = now.UnixMilli() < l.unrecordedUntil
 	}
 	return p
 }
@@ -187,18 +168,14 @@
 	p.Ceiling, p.recordedUncertain = ceiling, p.Uncertain
 	p.pending = append(p.pending[:len(p.pending):len(p.pending)], ceiling)
 	l.accounts[ref] = p
-	return encodeAccount(ref, p, l.deaths-p.uncounted)
+	return encodeAccount(ref, p)
 }
 
 // Allowed reports whether the tokens of a turn that is reserved next may be sent before any further record is confirmed.
 func (l *Ledger) Allowed(c Claim, now time.Time) bool {
-	p := l.account(c, now)
+	p := l.account(c.Program, now)
 	limit := p.durable()
-	switch {
-	case !l.opened:
-	case c.isGrant() && !p.recorded:
-		limit = p.Confirmed + c.unrecordedLimit()
-	case c.isGrant() || !p.Uncertain:
+	if l.opened && !p.Uncertain {
 		limit += c.turnTokens()
 	}
 	return p.Spent+p.Reserved+c.MaxTokens <= limit
@@ -222,7 +199,7 @@
 			l.opened = l.isOpening(r.Value)
 		case kind == programKind:
 			if p, ok := l.accounts[ref]; ok && len(p.pending) > 0 {
-				p.Confirmed, p.pending, p.recorded = p.pending[0], p.pending[1:], true
+				p.Confirmed, p.pending = p.pending[0], p.pending[1:]
 				l.accounts[ref] = p
 			}
 		}
--- a/internal/state/turns/record.go
+++ b/internal/state/turns/record.go
@@ -28,8 +28,6 @@
 	Ceiling   int64 `json:"ceiling"`
 	ExpiresAt int64 `json:"until"`
 	Uncertain bool  `json:"uncertain,omitempty"`
-	// Deaths is handover.deaths at the time of the record.
-	Deaths int64 `json:"deaths,omitempty"`
 }
 
 // maxNameBytes limits the length of Ref.keyName, so that every key fits in the 255 bytes that the store allows.
@@ -74,10 +72,8 @@
 // Marker returns a record that changes nothing. Appending it shows whether the writer is still allowed to append.
 func Marker() store.Record { return store.Record{Key: markerKind, Value: []byte{1}} }
 
-func encodeAccount(r Ref, p Account, deaths int64) store.Record {
-	v, err := json.Marshal(accountRecord{
-		Ceiling: p.Ceiling, ExpiresAt: p.ExpiresAt, Uncertain: p.Uncertain, Deaths: deaths,
-	})
+func encodeAccount(r Ref, p Account) store.Record {
+	v, err := json.Marshal(accountRecord{Ceiling: p.Ceiling, ExpiresAt: p.ExpiresAt, Uncertain: p.Uncertain})
 	if err != nil {
 		panic(err) // A struct of integers and a boolean.
 	}
@@ -91,7 +87,7 @@
 	}
 	return Account{
 		Spent: a.Ceiling, Ceiling: a.Ceiling, Confirmed: a.Ceiling, ExpiresAt: a.ExpiresAt,
-		Uncertain: a.Uncertain, recordedUncertain: a.Uncertain, recorded: true, recordedDeaths: a.Deaths,
+		Uncertain: a.Uncertain, recordedUncertain: a.Uncertain,
 	}, nil
 }
 
