roster: engines without a recent report count with the mean of the others

Change: for such turns, and for admission of their programs, an engine without a report has the mean load of those with one.

--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -34,8 +34,8 @@
 	// mayHaveRun means that an upstream may have started to run the call.
 	mayHaveRun bool
 	lastErr    error
-	// stayLocal means that a cached prompt does not outweigh the distance to another data centre.
-	stayLocal bool
+	// local says that the call is a turn that this process runs although it is not the home of its program.
+	local bool
 	// resumeAfter is the ID of the last event that was passed on of a resumable stream.
 	resumeAfter string
 }
@@ -80,7 +80,7 @@
 func (g *Gateway) pick(a *attempts, cached string, bonus float64) (roster.Upstream, bool) {
 	w := roster.Criteria{
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
-		StayLocal: a.stayLocal,
+		StayLocal: a.local, SparseReports: a.local,
 	}
 	if parts := a.call.Turn.Parts; len(parts) > 1 {
 		w.SharedPrefix, w.SharedPrefixTokens = parts[0].ID, parts[0].Tokens
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -56,7 +56,7 @@
 	q := g.turnRequest(j)
 	q.LeftMS = time.Until(j.deadline).Milliseconds()
 	a := q.attempts(j.deadline)
-	a.stayLocal = true
+	a.local = true
 	if f := g.checkQuarantine(a.job); f != nil {
 		return f
 	}
@@ -67,7 +67,7 @@
 		}
 		return w.Write(p.Body)
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace}
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace, local: true}
 	b, f := g.reserveLocally(ctx, q)
 	if f != nil {
 		return f
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -43,6 +43,8 @@
 	partialEvent []byte
 	// headSent means that the response headers were passed on.
 	headSent bool
+	// local says that the turn runs where it arrived.
+	local bool
 	// programStarted means that the program started before this turn.
 	programStarted bool
 }
@@ -211,7 +213,7 @@
 	if t.programStarted {
 		return nil
 	}
-	slots, requests := g.roster.Usage(q.Service, now)
+	slots, requests := g.roster.Usage(q.Service, t.local, now)
 	usage := admit.Usage{Slots: slots, Requests: requests}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
 	a := admit.Request{Priority: q.Priority, TimeLeft: left, TotalTime: g.initialTimeLeft.getOrAdd(q.program(), left)}
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -243,6 +243,9 @@
 	// StayLocal means that the cache does not outweigh the distance to another data centre: the prompt would have to be
 	// sent there.
 	StayLocal bool
+	// SparseReports means that this process hears from an upstream less often than its reports are used. Upstreams without
+	// one then count with the mean load of the others, instead of as idle.
+	SparseReports bool
 	// SharedPrefix identifies a prompt prefix that many programs share, SharedPrefixTokens is its length; empty for
 	// none.
 	SharedPrefix       string
@@ -272,11 +275,15 @@
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
 	var best *upstreamState
 	var bestScore float64
+	assumed := 0.0
+	if c.SparseReports {
+		assumed = t.reportedLoad(c.Service, now)
+	}
 	for _, s := range t.upstreams {
 		if !t.eligible(s, c, now, includeBroken) {
 			continue
 		}
-		if score := s.score(c, now); best == nil || score < bestScore {
+		if score := s.score(c, s.load(assumed, now), now); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -296,8 +303,8 @@
 
 // score returns the expected time, of the request itself and of those ahead of it, in units of an idle upstream's time,
 // with advantages and penalties as load in requests per slot. Lower is better.
-func (s *upstreamState) score(c Criteria, now time.Time) float64 {
-	score := (1+s.load(now))*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
+func (s *upstreamState) score(c Criteria, load float64, now time.Time) float64 {
+	score := (1+load)*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
 	score += s.penalty(now)
 	if s.DataCentre != c.DataCentre {
 		score += remotePenalty
@@ -325,13 +332,28 @@
 	return float64(xxhash.Sum64String(prefix+"\x00"+s.Instance)) < prefixEngineFraction*math.MaxUint64
 }
 
-// load returns the requests per slot.
-func (s *upstreamState) load(now time.Time) float64 {
-	n := s.inFlight
-	if now.Sub(s.loadReportedAt) < loadReportTTL {
-		n += s.otherRequests
+// load returns the requests per slot. Without a report, other processes' requests count as assumed.
+func (s *upstreamState) load(assumed float64, now time.Time) float64 {
+	slots := float64(max(1, s.Slots))
+	if s.reported(now) {
+		return float64(s.inFlight+s.otherRequests) / slots
+	}
+	return float64(s.inFlight)/slots + assumed
+}
+
+// reported reports whether there is a load report that is recent enough.
+func (s *upstreamState) reported(now time.Time) bool { return now.Sub(s.loadReportedAt) < loadReportTTL }
+
+// reportedLoad returns the mean load, by slots, of the service's upstreams that reported theirs. The caller holds the lock.
+func (t *Table) reportedLoad(service string, now time.Time) float64 {
+	slots, held := 0, 0
+	for _, s := range t.upstreams {
+		if s.Service == service && !s.Draining && s.reported(now) {
+			slots += s.Slots
+			held += s.inFlight + s.otherRequests
+		}
 	}
-	return float64(n) / float64(max(1, s.Slots))
+	return float64(held) / float64(max(1, slots))
 }
 
 // RecordLoad records a load report that came with an answer.
@@ -375,16 +397,21 @@
 	return c, changed
 }
 
-// Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them.
-func (t *Table) Usage(service string, now time.Time) (slots int, held float64) {
+// Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them. With
+// sparseReports, upstreams without a report count with the mean load of the others.
+func (t *Table) Usage(service string, sparseReports bool, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	assumed := 0.0
+	if sparseReports {
+		assumed = t.reportedLoad(service, now)
+	}
 	for _, s := range t.upstreams {
 		if s.Service != service || s.Draining {
 			continue
 		}
 		slots += s.Slots
-		held += s.load(now) * float64(s.Slots)
+		held += s.load(assumed, now) * float64(s.Slots)
 	}
 	return slots, held
 }
