gate: a refused program returns its tokens at once

Cause: a program that admission refused kept a grant, and the home told the next gateway that it had started, so that its second attempt passed admission.

--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -147,19 +147,30 @@
 
 // returnIdle returns the tokens of programs that ran no turn since the given time to their homes. Tokens whose return
 // does not arrive count as spent.
-func (g *Gateway) returnIdle(ctx context.Context, since time.Time) {
+func (g *Gateway) returnIdle(since time.Time) {
 	for partition, returns := range g.allowances.releaseIdle(since) {
-		g.group.Go(func(context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-			defer cancel()
-			if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
-				g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
-			}
-			return nil
-		})
+		g.sendReturnsAsync(partition, returns)
 	}
 }
 
+// returnAsync returns the unused tokens of a program to its home.
+func (g *Gateway) returnAsync(program turns.Ref) {
+	if partition, returns := g.allowances.release(program); len(returns) > 0 {
+		g.sendReturnsAsync(partition, returns)
+	}
+}
+
+func (g *Gateway) sendReturnsAsync(partition int, returns []allow.Return) {
+	g.group.Go(func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
+		if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
+			g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
+		}
+		return nil
+	})
+}
+
 func (g *Gateway) sendReturns(ctx context.Context, q returnRequest) error {
 	address, self, known := g.owner.AddressOf(q.Partition)
 	if !known {
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -154,7 +154,7 @@
 			g.roster.ExpireMissing(now)
 			g.attributeCrashes()
 			g.sweepCrashes(now)
-			g.returnIdle(ctx, now.Add(-allowanceIdle))
+			g.returnIdle(now.Add(-allowanceIdle))
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.CanRoute() && !g.shutdown.Begun() && !g.ready.IsReady() {
 				g.ready.Set(true)
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -39,11 +39,15 @@
 // await returns at once: what a home grants is durable.
 func (*localBudget) await(context.Context) error { return nil }
 
-// end also asks for what the program lacks for its next turn, so that the turn does not wait for it.
+// end also asks for what the program lacks for its next turn, so that the turn does not wait for it. If the program has
+// not started, it returns the tokens: while they are reserved, the home would tell other gateways that it has.
 func (b *localBudget) end(tokens int64) {
 	program := b.turn.program()
 	b.gateway.allowances.end(program, b.tokens, tokens, b.started)
 	if tokens == 0 {
+		if !b.started {
+			b.gateway.returnAsync(program)
+		}
 		return
 	}
 	if missing := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -38,7 +38,7 @@
 
 // AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends.
 func (g *Gateway) AwaitPeerTurns(ctx context.Context) {
-	g.returnIdle(ctx, time.Now())
+	g.returnIdle(time.Now())
 	poll := time.NewTicker(peerTurnsPollInterval)
 	defer poll.Stop()
 	for !g.readers.none() {
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -342,7 +342,9 @@
 }
 
 // reported reports whether there is a load report that is recent enough.
-func (s *upstreamState) reported(now time.Time) bool { return now.Sub(s.loadReportedAt) < loadReportTTL }
+func (s *upstreamState) reported(now time.Time) bool {
+	return now.Sub(s.loadReportedAt) < loadReportTTL
+}
 
 // reportedLoad returns the mean load, by slots, of the service's upstreams that reported theirs. The caller holds the lock.
 func (t *Table) reportedLoad(service string, now time.Time) float64 {
