roster: local turns go to another data centre at a lower difference of load

Cause: homes are spread evenly, callers are not; with a difference of 0.25 requests per slot the engines of the busiest data centre stayed full while others had room.

--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -83,9 +83,11 @@
 	prefixBonusPerToken = 1.6e-5
 	// maxPrefixBonus keeps the advantage smaller than remotePenalty.
 	maxPrefixBonus = 0.2
-	// maxRemoteCacheBonus keeps the advantage of a cache in another data centre smaller than remotePenalty for requests
-	// that stay local.
-	maxRemoteCacheBonus = 0.2
+	// localTurnRemotePenalty is remotePenalty for turns that run where they arrive. Callers are spread unevenly over data
+	// centres, and a few milliseconds are short beside a turn.
+	localTurnRemotePenalty = 0.1
+	// maxRemoteCacheBonus keeps the advantage of a cache in another data centre smaller than localTurnRemotePenalty.
+	maxRemoteCacheBonus = 0.08
 	// scoreJitter is the range, in requests per slot, of the random part of a score, so that entries do not all pick
 	// the same upstream.
 	scoreJitter = 0.04
@@ -307,7 +309,7 @@
 	score := (1+load)*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
 	score += s.penalty(now)
 	if s.DataCentre != c.DataCentre {
-		score += remotePenalty
+		score += c.remotePenalty()
 	}
 	if s.Instance == c.CachedOn {
 		score -= s.cacheBonus(c)
@@ -318,6 +320,14 @@
 	return score
 }
 
+// remotePenalty returns how much lower the load of an upstream in another data centre must be.
+func (c Criteria) remotePenalty() float64 {
+	if c.StayLocal {
+		return localTurnRemotePenalty
+	}
+	return remotePenalty
+}
+
 // cacheBonus returns the advantage of the upstream that holds the program's cache.
 func (s *upstreamState) cacheBonus(c Criteria) float64 {
 	if c.StayLocal && s.DataCentre != c.DataCentre {
