admit: the load up to which programs start follows how long turns wait

Change: the limit rises while turns wait for their first event less than 0.3 of the objective, and falls otherwise (setting admission).

--- a/internal/plat/config/common.go
+++ b/internal/plat/config/common.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 )
 
@@ -61,13 +62,18 @@
 	Off  = "off"
 )
 
-// checkSwitch returns an error unless the value is Auto, On or Off.
-func checkSwitch(field, value string) []FieldError {
-	switch value {
-	case Auto, On, Off:
+// Values of the setting admission, beside Auto.
+const (
+	AdmitByLoad    = "load"
+	AdmitByOutcome = "outcome"
+)
+
+// checkOneOf returns an error unless the value is one of those allowed.
+func checkOneOf(field, value string, allowed ...string) []FieldError {
+	if slices.Contains(allowed, value) {
 		return nil
 	}
-	return []FieldError{{Field: field, Problem: fmt.Sprintf("%q must be %q, %q or %q", value, Auto, On, Off)}}
+	return []FieldError{{Field: field, Problem: fmt.Sprintf("%q must be one of %q", value, allowed)}}
 }
 
 // Millis converts a settings field in milliseconds to a duration.
--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -40,6 +40,9 @@
 	// LocalTurns says where turns on routes that keep no history run: "on" for the gateway that received them, "off" for
 	// the home of their program, "auto" for "on" while no route of the configuration keeps history.
 	LocalTurns string `json:"local_turns"`
+	// Admission says how programs are admitted: "load" by a fixed load of the engines, "outcome" by how long turns wait at
+	// the engines, "auto" by the latter for turns that run at the gateway that received them.
+	Admission string `json:"admission"`
 	// LogDebug enables log events of level debug.
 	LogDebug bool `json:"log_debug"`
 }
@@ -49,7 +52,7 @@
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
 		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
-		LocalTurns: Auto,
+		LocalTurns: Auto, Admission: Auto,
 	}
 }
 
@@ -84,7 +87,8 @@
 	errs = append(errs, checkMin("memory_mb", g.MemoryMB, 32)...)
 	errs = append(errs, checkMin("max_connections", g.MaxConnections, 1)...)
 	errs = append(errs, checkMin("stop_ms", g.StopMS, 0)...)
-	errs = append(errs, checkSwitch("local_turns", g.LocalTurns)...)
+	errs = append(errs, checkOneOf("local_turns", g.LocalTurns, Auto, On, Off)...)
+	errs = append(errs, checkOneOf("admission", g.Admission, Auto, AdmitByLoad, AdmitByOutcome)...)
 	if g.ListenCallers == g.ListenPeers {
 		errs = append(errs, FieldError{
 			Field:   "listen_peers",
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -60,6 +60,7 @@
 	cacheEngines    memo[string]
 	initialTimeLeft memo[time.Duration]
 	allowances      *allowances
+	admission       admission
 	answeredSampler sampler
 	suspects        *crashSuspects
 	notices         *notifier
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -45,6 +45,8 @@
 	headSent bool
 	// local says that the turn runs where it arrived.
 	local bool
+	// objective is the latency objective for the first event; zero if unknown.
+	objective time.Duration
 	// programStarted means that the program started before this turn.
 	programStarted bool
 }
@@ -107,8 +109,10 @@
 		if !ok {
 			break
 		}
+		sent := time.Now()
 		resp, ok := g.send(ctx, a, u, prompt, t.priority())
 		if ok {
+			t.recordFirstEvent(time.Since(sent))
 			again, f := t.stream(ctx, a, u, resp)
 			if !again {
 				return f
@@ -217,14 +221,15 @@
 	usage := admit.Usage{Slots: slots, Requests: requests}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
 	a := admit.Request{Priority: q.Priority, TimeLeft: left, TotalTime: g.initialTimeLeft.getOrAdd(q.program(), left)}
-	ok, retryAfter := g.policy.Admit(usage, a)
+	policy := t.admissionPolicy()
+	ok, retryAfter := policy.Admit(usage, a)
 	if ok {
 		return g.rates.admitProgram(ctx, t.workspace)
 	}
 	g.metrics.Add("programs_refused", 1)
 	return g.refuse(fault.Overloaded, "begin",
 		"engines of %q hold %.1f requests in %d slots, limit %.2f for priority %d, %v of %v left",
-		q.Service, requests, slots, g.policy.Limit(a), q.Priority, left, a.TotalTime).WithRetryAfter(retryAfter)
+		q.Service, requests, slots, policy.Limit(a), q.Priority, left, a.TotalTime).WithRetryAfter(retryAfter)
 }
 
 // finish ends a turn that was answered in full. If the route keeps history, it returns once the turn is durable.
