--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -267,34 +267,44 @@
 	var best *upstreamState
 	var bestScore float64
 	for _, s := range t.upstreams {
-		if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
+		if !t.eligible(s, c, now, includeBroken) {
 			continue
 		}
-		if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
-			continue
-		}
-		if now.Before(s.backoffUntil) && !(includeBroken && s.accepting) {
-			continue
-		}
-		// The expected time, of the request itself and of those ahead of it.
-		score := (1+s.load(now))*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
-		score += s.penalty(now)
-		if s.DataCentre != c.DataCentre {
-			score += remotePenalty
-		}
-		if s.Instance == c.CachedOn {
-			score -= c.CacheBonus
-		}
-		if c.SharedPrefix != "" && s.cachesPrefix(c.SharedPrefix) {
-			score -= min(maxPrefixBonus, prefixBonusPerToken*float64(c.SharedPrefixTokens))
-		}
-		if best == nil || score < bestScore {
+		if score := s.score(c, now); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
 	return best
 }
 
+// eligible reports whether the upstream may be picked. The caller holds the lock.
+func (t *Table) eligible(s *upstreamState, c Criteria, now time.Time, includeBroken bool) bool {
+	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
+		return false
+	}
+	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
+		return false
+	}
+	return !now.Before(s.backoffUntil) || (includeBroken && s.accepting)
+}
+
+// score returns the expected time, of the request itself and of those ahead of it, in units of an idle upstream's time,
+// with advantages and penalties as load in requests per slot. Lower is better.
+func (s *upstreamState) score(c Criteria, now time.Time) float64 {
+	score := (1+s.load(now))*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
+	score += s.penalty(now)
+	if s.DataCentre != c.DataCentre {
+		score += remotePenalty
+	}
+	if s.Instance == c.CachedOn {
+		score -= c.CacheBonus
+	}
+	if c.SharedPrefix != "" && s.cachesPrefix(c.SharedPrefix) {
+		score -= min(maxPrefixBonus, prefixBonusPerToken*float64(c.SharedPrefixTokens))
+	}
+	return score
+}
+
 // cachesPrefix reports whether the engine is one of those that should cache the shared prompt prefix. All processes
 // compute the same result without coordination.
 func (s *upstreamState) cachesPrefix(prefix string) bool {
