gate, roster: data centres that the operator evacuates

Cause: a record "evacuate/ZONE" in the operator's feed had no effect, so that requests went on to the upstreams there. Change: roster.Table holds the set of evacuated data centres; Pick and Usage leave out their upstreams. Each gateway follows the feed that it reads for the configuration. The cache for peers follows the same rule. Evacuations are applied before the configuration of the same batch, since a gateway that starts serves as soon as it has one. Ruled out: a mark on each upstream (one announced during an evacuation would lack it); notices between gateways (the feed is as fast, and a second source needs an order of its own). Tests: overlapping evacuations, one of them twice, under load; a gateway cut off by resets and by silence; the store away; a start from a peer's cache; a removal that the feed's history dropped; a service with all upstreams evacuated. They fail without the filter in the roster; the offset rules and the order are covered by tests of their own, which fail without them.

--- a/internal/role/gate/feedcache.go
+++ b/internal/role/gate/feedcache.go
@@ -28,20 +28,24 @@
 
 func newFeedCache() *feedCache { return &feedCache{feeds: make(map[store.Feed]*feedState)} }
 
-// replace stores a snapshot of the feed.
+// replace stores a snapshot of the feed. An older snapshot than what is cached, from the cache of a peer that is behind,
+// changes nothing.
 func (r *feedCache) replace(f store.Feed, b store.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if m, ok := r.feeds[f]; ok && b.Next < m.next {
+		return
+	}
 	m := &feedState{records: make(map[string][]byte, len(b.Records))}
 	r.feeds[f] = m
 	m.add(b)
 }
 
-// add applies the records of the next batch.
+// add applies the records of the next batch. Records up to an offset that is cached already change nothing.
 func (r *feedCache) add(f store.Feed, b store.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := r.feeds[f]; ok {
+	if m, ok := r.feeds[f]; ok && b.Next > m.next {
 		m.add(b)
 	}
 }
--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -29,16 +29,29 @@
 	settleTime = 2500 * time.Millisecond
 )
 
-// followSettings keeps the newest configuration in force.
+// followSettings keeps the newest configuration and the set of evacuated data centres in force.
 func (g *Gateway) followSettings(ctx context.Context) error {
 	f := follower{
 		gateway: g, feed: store.Settings, wait: settingsFollowWait,
-		onSnapshot: g.applySettings, onBatch: g.applySettings,
+		onSnapshot: g.replaceSettings, onBatch: g.applySettings,
 	}
 	return f.run(ctx)
 }
 
+// replaceSettings applies a snapshot of the settings. The evacuations come first: a gateway that starts serves requests as
+// soon as it has a configuration.
+func (g *Gateway) replaceSettings(b store.Batch) {
+	g.replaceEvacuations(b)
+	g.applyNewestLayout(b)
+}
+
+// applySettings applies settings that changed.
 func (g *Gateway) applySettings(b store.Batch) {
+	g.applyEvacuations(b)
+	g.applyNewestLayout(b)
+}
+
+func (g *Gateway) applyNewestLayout(b store.Batch) {
 	for _, r := range b.Records {
 		if r.Key == g.decoder.LayoutKey() {
 			g.applyLayout(r.Value, "store")
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -34,6 +34,9 @@
 	DecodeUpstream(instance string, value []byte) (roster.Upstream, error)
 	// LayoutKey is the key of the configuration record.
 	LayoutKey() string
+	// DecodeEvacuation returns the data centre that a record of the settings feed with this key evacuates while it has a
+	// value, or false for records about something else.
+	DecodeEvacuation(key string) (dataCentre string, ok bool)
 }
 
 // Gateway is a running gateway.
@@ -107,6 +110,7 @@
 		owner.WithLimits(owner.Limits{RecordBytes: int(s.RecordBytes), AppendBytes: int(s.AppendBytes)}),
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
+	gt.registerEvacuationGauges()
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
 	}); err != nil {
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -123,6 +123,8 @@
 	leaving map[Start]time.Time
 	// ended holds the upstreams that ended without notice since the last call of TakeEnded.
 	ended []Upstream
+	// evacuations is the set of data centres whose upstreams get no new requests.
+	evacuations Evacuations
 }
 
 // Start identifies one start of an upstream.
@@ -282,6 +284,9 @@
 	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 		return false
 	}
+	if t.evacuations.Contains(s.DataCentre) {
+		return false
+	}
 	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
 		return false
 	}
@@ -366,7 +371,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.upstreams {
-		if s.Service != service || s.Draining {
+		if s.Service != service || s.Draining || t.evacuations.Contains(s.DataCentre) {
 			continue
 		}
 		slots += s.Slots
