gate, layout: routes and workspaces restricted to regions

Cause: allowedRegions of routes and tenants was not read. Change: the gateway that receives a request intersects both lists and picks only upstreams in data centres whose region, by the new setting "regions", is allowed. Turns carry the set to their home. Before content of a restricted turn is sent to a peer (the turn itself, or its history at a hand-over), the peer is asked for its data centre (/v1/place), whose region must be allowed or be the region of the gateway that received the call; otherwise 503. Ruled out: the region in the name of a group member (every version must agree on the form); a check at the home (the content has been sent by then). Not covered: histories found in other partitions, and appends that a peer makes for a gateway that is cut off from the store.

--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -1,6 +1,10 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // Gateway holds the settings of a gateway process.
 type Gateway struct {
@@ -8,6 +12,9 @@
 	VM string `json:"vm"`
 	// DataCentre is the name of the VM's data centre.
 	DataCentre string `json:"data_centre"`
+	// Regions maps the names of data centres to their regions. It is needed only where the configuration restricts requests
+	// to regions; a data centre that is missing is in no region, so that a restricted request never reaches it.
+	Regions map[string]string `json:"regions"`
 	// ListenCallers is the IP address and port for callers.
 	ListenCallers string `json:"listen_callers"`
 	// ListenReady is the IP address and port for the load balancer's readiness checks.
@@ -57,10 +64,24 @@
 	return g.ListenPeers
 }
 
+// checkRegions returns an error for each entry with an empty name, in the order of the data centres.
+func checkRegions(regions map[string]string) []FieldError {
+	var errs []FieldError
+	for _, dc := range slices.Sorted(maps.Keys(regions)) {
+		if dc == "" || regions[dc] == "" {
+			errs = append(errs, FieldError{
+				Field: "regions", Problem: fmt.Sprintf("entry %q: %q has an empty name", dc, regions[dc]),
+			})
+		}
+	}
+	return errs
+}
+
 // Validate returns every invalid field.
 func (g *Gateway) Validate() []FieldError {
 	errs := checkNotEmpty("vm", g.VM)
 	errs = append(errs, checkNotEmpty("data_centre", g.DataCentre)...)
+	errs = append(errs, checkRegions(g.Regions)...)
 	errs = append(errs, checkAddress("listen_callers", g.ListenCallers)...)
 	errs = append(errs, checkAddress("listen_ready", g.ListenReady)...)
 	errs = append(errs, checkAddress("listen_peers", g.ListenPeers)...)
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -78,6 +78,7 @@
 func (g *Gateway) pick(a *attempts, cached string, bonus float64) (roster.Upstream, bool) {
 	w := roster.Criteria{
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
+		Allows: g.dataCentreFilter(a.regions),
 	}
 	if parts := a.call.Turn.Parts; len(parts) > 1 {
 		w.SharedPrefix, w.SharedPrefixTokens = parts[0].ID, parts[0].Tokens
@@ -105,8 +106,8 @@
 	case a.mayHaveRun:
 		return g.refuse(fault.UpstreamFailed, "dispatch", "%d upstreams of %q tried: %v", a.sent, a.service, a.lastErr).WithOutcome(fault.Unknown)
 	}
-	return g.refuse(fault.NoUpstream, "dispatch", "no upstream of %q accepted the request (%d sent, %d unreachable): %v",
-		a.service, a.sent, a.unreachable, a.lastErr).WithRetryAfter(shortRetry)
+	return g.refuse(fault.NoUpstream, "dispatch", "no upstream of %q%s accepted the request (%d sent, %d unreachable): %v",
+		a.service, inRegions(a.regions), a.sent, a.unreachable, a.lastErr).WithRetryAfter(shortRetry)
 }
 
 // trySingle sends the call to one upstream. Done means that the caller has received an answer or part of one.
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -66,6 +66,7 @@
 	suspects        *crashSuspects
 	notices         *notifier
 	unowned         unownedPartitions
+	peerRegions     peerRegions
 	latencies       latencies
 	slowRetries     slowRetries
 	policy          admit.Policy
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -29,6 +29,7 @@
 	pokePath   = "/v1/poke"
 	noticePath = "/v1/notice"
 	assignPath = "/v1/assigned"
+	placePath  = "/v1/place"
 )
 
 const (
@@ -185,6 +186,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+noticePath, jsonHandler(g, g.applyNotice))
+	mux.Handle("POST "+placePath, jsonHandler(g, g.place))
 	mux.Handle("POST "+assignPath, jsonHandler(g, func(_ context.Context, q assignedRequest) (assignedAnswer, error) {
 		return assignedAnswer{slices.ContainsFunc(q.Partitions, g.owner.Assigned)}, nil
 	}))
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -196,7 +196,7 @@
 	if t.programStarted {
 		return nil
 	}
-	slots, requests := g.roster.Usage(q.Service, now)
+	slots, requests := g.roster.UsageWithin(q.Service, g.dataCentreFilter(q.Regions), now)
 	usage := admit.Usage{Slots: slots, Requests: requests}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
 	a := admit.Request{Priority: q.Priority, TimeLeft: left, TotalTime: g.initialTimeLeft.getOrAdd(q.program(), left)}
@@ -227,7 +227,7 @@
 		err = t.partition.Await(ctx, ticket)
 	}
 	if errors.Is(err, owner.ErrMoved) {
-		err = t.gateway.handOverTurn(ctx, t.Partition, append(t.reservation.Chain, completed))
+		err = t.gateway.handOverTurn(ctx, t.turnRequest, append(t.reservation.Chain, completed))
 	}
 	if err != nil {
 		return t.gateway.refuse(fault.UpstreamFailed, "history", "the turn could not be stored: %v", err).
--- a/internal/role/gate/serve.go
+++ b/internal/role/gate/serve.go
@@ -32,6 +32,8 @@
 	version int64
 	// deadline is when the call must be answered: the caller's deadline or the route's timeout, whichever is earlier.
 	deadline time.Time
+	// regions are those whose upstreams may run the call.
+	regions layout.RegionSet
 	// fingerprintCache holds the fingerprints once they have been computed.
 	fingerprintCache []uint64
 }
@@ -97,6 +99,7 @@
 			return j, g.refuse(fault.Unauthenticated, "admit", "key is unknown in version %d", l.Version)
 		}
 	}
+	j.regions = r.AllowedRegions.Intersect(j.workspace.AllowedRegions)
 	if c.ID == "" {
 		return j, g.refuse(fault.InvalidRequest, "admit", "the request has no id")
 	}
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -42,6 +42,10 @@
 	// at another engine.
 	KeepsHistory bool `json:"keeps_history,omitempty"`
 	Resumable    bool `json:"resumable,omitempty"`
+	// Regions are those whose engines may run the turn. If they are restricted, its content may also reach gateways in
+	// CallerRegion, the region of the gateway that received the call.
+	Regions      layout.RegionSet `json:"regions,omitzero"`
+	CallerRegion string           `json:"caller_region,omitempty"`
 	// MaxAttempts bounds the engines that the turn is sent to.
 	MaxAttempts int `json:"max_attempts"`
 	// EventTokens is the number of tokens per event.
@@ -126,8 +130,12 @@
 		Call: j.call, Workspace: j.workspace.Name, Partition: g.owner.PartitionOf(j.workspace.Name + "/" + j.call.Program),
 		Service: j.service(), Route: j.route.Name, Priority: j.route.PriorityFor(j.workspace),
 		MaxAttempts:  j.route.MaxAttempts,
+		Regions:      j.regions,
 		KeepsHistory: j.route.KeepsHistory, Resumable: j.route.Resumable, EventTokens: 1, RetentionMS: j.route.Retention.Milliseconds(),
 	}
+	if q.Regions.Restricted {
+		q.CallerRegion = g.region(g.settings.DataCentre)
+	}
 	if s, ok := g.layout.Load().Service(q.Service); ok && s.Engine != nil {
 		q.EventTokens = max(1, s.Engine.EventTokens)
 	}
@@ -149,6 +157,9 @@
 	if self {
 		return g.runTurn(ctx, q, out)
 	}
+	if f := g.checkRelay(ctx, address, q); f != nil {
+		return f
+	}
 	return g.fetchTurn(ctx, address, q, out)
 }
 
@@ -334,7 +345,7 @@
 // attempts returns the initial state of the turn's attempts.
 func (q *turnRequest) attempts(until time.Time) *attempts {
 	return &attempts{service: q.Service, job: &job{
-		call: q.Call, deadline: until, workspace: layout.Workspace{Name: q.Workspace},
+		call: q.Call, deadline: until, workspace: layout.Workspace{Name: q.Workspace}, regions: q.Regions,
 		route: layout.Route{Name: q.Route, Kind: layout.Streaming, MaxAttempts: q.MaxAttempts, Resumable: q.Resumable},
 	}}
 }
--- a/internal/sched/roster/evacuate.go
+++ b/internal/sched/roster/evacuate.go
@@ -110,6 +110,12 @@
 	return n
 }
 
+// open reports whether the upstreams of a data centre get new requests that allows permits; nil permits all. The caller
+// holds the lock.
+func (t *Table) open(dataCentre string, allows func(dataCentre string) bool) bool {
+	return !t.evacuations.Contains(dataCentre) && (allows == nil || allows(dataCentre))
+}
+
 // countIn returns the number of known upstreams in the data centre. The caller holds the lock.
 func (t *Table) countIn(dataCentre string) int {
 	n := 0
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -245,6 +245,8 @@
 	SharedPrefixTokens int64
 	// Exclude lists instances that were already tried.
 	Exclude []string
+	// Allows reports whether the request may run in a data centre; nil if it may run in all.
+	Allows func(dataCentre string) bool
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -284,7 +286,7 @@
 	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 		return false
 	}
-	if t.evacuations.Contains(s.DataCentre) {
+	if !t.open(s.DataCentre, c.Allows) {
 		return false
 	}
 	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
@@ -368,10 +370,17 @@
 
 // Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them.
 func (t *Table) Usage(service string, now time.Time) (slots int, held float64) {
+	return t.UsageWithin(service, nil, now)
+}
+
+// UsageWithin returns the usage of the upstreams in those data centres that allows reports, or in all if it is nil.
+func (t *Table) UsageWithin(
+	service string, allows func(dataCentre string) bool, now time.Time,
+) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.upstreams {
-		if s.Service != service || s.Draining || t.evacuations.Contains(s.DataCentre) {
+		if s.Service != service || s.Draining || !t.open(s.DataCentre, allows) {
 			continue
 		}
 		slots += s.Slots
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -68,6 +68,8 @@
 	KeepsHistory bool
 	// Resumable is set if a stream may continue at another upstream after the last event that was forwarded.
 	Resumable bool
+	// AllowedRegions are the regions whose upstreams may run the requests.
+	AllowedRegions RegionSet
 }
 
 // Target is a service that receives a share of the requests of a route, in proportion to its weight.
@@ -87,6 +89,8 @@
 	RatePerSecond float64
 	// Burst is the number of requests above the rate that may arrive at once.
 	Burst float64
+	// AllowedRegions are the regions whose upstreams may run the requests, in addition to the restriction of their route.
+	AllowedRegions RegionSet
 }
 
 // Service is a set of upstreams that serve the same requests.
