affin, roster: requests for the same object go to the same upstream

Cause: on sticky routes an upstream that handled an object recently takes about half the time, and requests for one object were spread over all upstreams. Change: rendezvous hashing with bounded load over the eligible upstreams, by the object that the caller names in a cookie. Ruled out: a bonus in the score (jitter and the different loads that gateways know spread each object); an order for each data centre (as many warm copies of an object, each used that much less recently).

--- a/internal/role/gate/call.go
+++ b/internal/role/gate/call.go
@@ -28,8 +28,10 @@
 	// Program is the ID of the agent program; empty for single requests.
 	Program string `json:"program,omitempty"`
 	// ProgramDeadline is when the program should be finished; zero if unknown.
-	ProgramDeadline time.Time  `json:"-"`
-	Turn            TurnParams `json:"turn"`
+	ProgramDeadline time.Time `json:"-"`
+	// Affinity identifies the object that the call concerns; empty if the caller names none.
+	Affinity string     `json:"affinity,omitempty"`
+	Turn     TurnParams `json:"turn"`
 }
 
 // TurnParams holds the parameters that the caller sets for a turn of a program.
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -80,6 +80,9 @@
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
 		Allows: g.dataCentreFilter(a.regions),
 	}
+	if a.route.Sticky {
+		w.Affinity = a.call.Affinity
+	}
 	if parts := a.call.Turn.Parts; len(parts) > 1 {
 		w.SharedPrefix, w.SharedPrefixTokens = parts[0].ID, parts[0].Tokens
 	}
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -112,6 +112,7 @@
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
 	gt.registerEvacuationGauges()
+	gt.registerAffinityGauges()
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
 	}); err != nil {
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -124,7 +124,8 @@
 	// ended holds the upstreams that ended without notice since the last call of TakeEnded.
 	ended []Upstream
 	// evacuations is the set of data centres whose upstreams get no new requests.
-	evacuations Evacuations
+	evacuations    Evacuations
+	affinityCounts AffinityCounts
 }
 
 // Start identifies one start of an upstream.
@@ -247,6 +248,9 @@
 	Exclude []string
 	// Allows reports whether the request may run in a data centre; nil if it may run in all.
 	Allows func(dataCentre string) bool
+	// Affinity identifies the object that the request concerns; empty for none. Requests with the same value go to the same
+	// upstream, bounded by its load.
+	Affinity string
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -254,7 +258,13 @@
 func (t *Table) Pick(c Criteria, now time.Time) (Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.best(c, now, false)
+	var best *upstreamState
+	if c.Affinity != "" {
+		best = t.byAffinity(c, now)
+	}
+	if best == nil {
+		best = t.best(c, now, false)
+	}
 	if best == nil {
 		best = t.best(c, now, true)
 	}
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -70,6 +70,8 @@
 	Resumable bool
 	// AllowedRegions are the regions whose upstreams may run the requests.
 	AllowedRegions RegionSet
+	// Sticky is set if requests that concern the same object run faster at the upstream that ran one of them recently.
+	Sticky bool
 }
 
 // Target is a service that receives a share of the requests of a route, in proportion to its weight.
