--- a/internal/sched/affin/affin.go
+++ b/internal/sched/affin/affin.go
@@ -22,16 +22,10 @@
 
 // DefaultPolicy returns the default bound. A request takes half as long at an upstream that handled its object recently.
 // With load L there and the mean m elsewhere it takes (1+L)/2 against 1+m of an idle upstream's time, so that it gains up
-// to L = 1+2m. Half of that bound leaves a margin for load reports, which are up to a second old, and for the upstream's
-// other requests, which a higher load delays.
+// to L = 1+2m. The bound stays below that, with a margin for load reports, which may be old, and for the upstream's other
+// requests, which a higher load delays.
 func DefaultPolicy() Policy { return Policy{Factor: 1.25, Headroom: 0.5} }
 
-// WithHeadroom returns the policy with another headroom.
-func (p Policy) WithHeadroom(load float64) Policy {
-	p.Headroom = load
-	return p
-}
-
 // Limit returns the load up to which an upstream is chosen if the mean load of the service is mean.
 func (p Policy) Limit(mean float64) float64 { return p.Factor*mean + p.Headroom }
 
