--- a/internal/sched/affin/affin.go
+++ b/internal/sched/affin/affin.go
@@ -8,7 +8,8 @@
 
 // Candidate is an upstream that may run the request.
 type Candidate struct {
-	Instance string
+	// Hash is the Hash of the instance's name.
+	Hash uint64
 	// Load is the load in requests per slot. Slowness and failures count as additional load.
 	Load float64
 }
@@ -40,11 +41,11 @@
 // Choose returns the first candidate in the order of the object whose load is within the limit. The order depends only on
 // the object and the names of the instances.
 func (p Policy) Choose(object string, candidates []Candidate, mean float64) Choice {
-	limit := p.Limit(mean)
+	limit, key := p.Limit(mean), Hash(object)
 	first, chosen := -1, -1
 	var firstWeight, chosenWeight uint64
 	for i, c := range candidates {
-		w := Weight(object, c.Instance)
+		w := weight(key, c.Hash)
 		if first < 0 || w > firstWeight {
 			first, firstWeight = i, w
 		}
@@ -55,12 +56,15 @@
 	return Choice{Index: chosen, First: chosen >= 0 && chosen == first}
 }
 
-// Weight returns the weight of an instance for an object. The instance with the highest weight is the object's first one.
-func Weight(object, instance string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(object)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(instance)
-	return d.Sum64()
+// Hash returns the hash of the name of an object or an instance.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// weight returns the weight of an instance for an object, both given by their hashes. The instance with the highest weight
+// is the object's first one. The finalizer of MurmurHash3 mixes the bits, so that a service of thousands of upstreams needs
+// no hash of a text for each of them.
+func weight(object, instance uint64) uint64 {
+	w := object ^ instance
+	w = (w ^ w>>33) * 0xff51afd7ed558ccd
+	w = (w ^ w>>33) * 0xc4ceb9fe1a85ec53
+	return w ^ w>>33
 }
--- a/internal/sched/affin/affin_test.go
+++ b/internal/sched/affin/affin_test.go
@@ -13,7 +13,7 @@
 func idle(n int) []Candidate {
 	out := make([]Candidate, n)
 	for i := range out {
-		out[i].Instance = fmt.Sprint("i-", i)
+		out[i].Hash = Hash(fmt.Sprint("i-", i))
 	}
 	return out
 }
@@ -25,7 +25,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(Weight(object, candidates[b].Instance), Weight(object, candidates[a].Instance))
+		return cmp.Compare(weight(Hash(object), candidates[b].Hash), weight(Hash(object), candidates[a].Hash))
 	})
 	for n, i := range order {
 		if candidates[i].Load <= p.Factor*mean+p.Headroom {
@@ -72,11 +72,11 @@
 	all, fewer := idle(upstreams), idle(upstreams-1)
 	moved := 0
 	for o := range objects {
-		with := all[DefaultPolicy().Choose(fmt.Sprint(o), all, 0).Index].Instance
-		without := fewer[DefaultPolicy().Choose(fmt.Sprint(o), fewer, 0).Index].Instance
+		with := all[DefaultPolicy().Choose(fmt.Sprint(o), all, 0).Index].Hash
+		without := fewer[DefaultPolicy().Choose(fmt.Sprint(o), fewer, 0).Index].Hash
 		if with != without {
 			moved++
-			is.Equal(with, all[upstreams-1].Instance)
+			is.Equal(with, all[upstreams-1].Hash)
 		}
 	}
 	t.Logf("%d of %d objects move with one of %d upstreams", moved, objects, upstreams)
--- a/internal/sched/roster/affinity.go
+++ b/internal/sched/roster/affinity.go
@@ -28,8 +28,8 @@
 // byAffinity returns the upstream for the object that the request concerns, or nil if there is none within the bound on
 // its load. The caller holds the lock.
 func (t *Table) byAffinity(c Criteria, now time.Time) *upstreamState {
-	var states []*upstreamState
-	var candidates []affin.Candidate
+	states := make([]*upstreamState, 0, len(t.upstreams))
+	candidates := make([]affin.Candidate, 0, len(t.upstreams))
 	slots, held := 0, 0.0
 	for _, s := range t.upstreams {
 		if !t.eligible(s, c, now, false) {
@@ -40,7 +40,7 @@
 		held += load * float64(s.Slots)
 		states = append(states, s)
 		candidates = append(candidates, affin.Candidate{
-			Instance: s.Instance, Load: (1+load)*s.slowdown.factor(now) - 1 + s.penalty(now),
+			Hash: s.affinityHash(), Load: (1+load)*s.slowdown.factor(now) - 1 + s.penalty(now),
 		})
 	}
 	if len(states) == 0 {
@@ -59,10 +59,18 @@
 	return states[choice.Index]
 }
 
+// affinityHash returns the hash of the instance's name, which is computed once.
+func (s *upstreamState) affinityHash() uint64 {
+	if s.instanceHash == 0 {
+		s.instanceHash = affin.Hash(s.Instance)
+	}
+	return s.instanceHash
+}
+
 // estimatedLoad returns the requests per slot. The other processes' part decays after the last report has expired.
 func (s *upstreamState) estimatedLoad(now time.Time) float64 {
 	expired := now.Sub(s.loadReportedAt) - loadReportTTL
-	if expired < 0 {
+	if expired < 0 || s.otherRequests == 0 {
 		return s.load(now)
 	}
 	others := float64(s.otherRequests) * math.Exp2(-expired.Seconds()/reportHalfLife.Seconds())
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -110,6 +110,8 @@
 	accepting bool
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
+	// instanceHash is used by affinityHash only.
+	instanceHash uint64
 }
 
 // Table holds the upstreams. It is safe for concurrent use.
