--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -29,6 +29,7 @@
 	pokePath   = "/v1/poke"
 	noticePath = "/v1/notice"
 	assignPath = "/v1/assigned"
+	placePath  = "/v1/place"
 	// grantsPath asks for tokens of a program's budget, returnsPath returns them, recallPath asks for unused ones.
 	grantsPath  = "/v1/grants"
 	returnsPath = "/v1/returns"
@@ -190,6 +191,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle("POST "+noticePath, jsonHandler(g, g.applyNotice))
+	mux.Handle("POST "+placePath, jsonHandler(g, g.place))
 	mux.Handle("POST "+assignPath, jsonHandler(g, func(_ context.Context, q assignedRequest) (assignedAnswer, error) {
 		return assignedAnswer{slices.ContainsFunc(q.Partitions, g.owner.Assigned)}, nil
 	}))
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -11,6 +11,7 @@
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/admit"
+	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
 	"galenaward.example/galenaward/internal/state/turns"
 	"galenaward.example/galenaward/internal/wire/events"
@@ -217,7 +218,9 @@
 	if t.programStarted {
 		return nil
 	}
-	slots, requests := g.roster.Usage(q.Service, t.local, now)
+	slots, requests := g.roster.Usage(roster.UsageQuery{
+		Service: q.Service, Allows: g.dataCentreFilter(q.Regions), SparseReports: t.local,
+	}, now)
 	usage := admit.Usage{Slots: slots, Requests: requests}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
 	a := admit.Request{Priority: q.Priority, TimeLeft: left, TotalTime: g.initialTimeLeft.getOrAdd(q.program(), left)}
@@ -250,7 +253,7 @@
 		err = home.partition.Await(ctx, ticket)
 	}
 	if errors.Is(err, owner.ErrMoved) {
-		err = t.gateway.handOverTurn(ctx, t.Partition, append(t.chain, completed))
+		err = t.gateway.handOverTurn(ctx, t.turnRequest, append(t.chain, completed))
 	}
 	if err != nil {
 		return t.gateway.refuse(fault.UpstreamFailed, "history", "the turn could not be stored: %v", err).
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -115,6 +115,8 @@
 	accepting bool
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
+	// instanceHash is used by affinityHash only.
+	instanceHash uint64
 }
 
 // Table holds the upstreams. It is safe for concurrent use.
@@ -128,6 +130,9 @@
 	leaving map[Start]time.Time
 	// ended holds the upstreams that ended without notice since the last call of TakeEnded.
 	ended []Upstream
+	// evacuations is the set of data centres whose upstreams get no new requests.
+	evacuations    Evacuations
+	affinityCounts AffinityCounts
 }
 
 // Start identifies one start of an upstream.
@@ -254,6 +259,11 @@
 	SharedPrefixTokens int64
 	// Exclude lists instances that were already tried.
 	Exclude []string
+	// Allows reports whether the request may run in a data centre; nil if it may run in all.
+	Allows func(dataCentre string) bool
+	// Affinity identifies the object that the request concerns; empty for none. Requests with the same value go to the same
+	// upstream, bounded by its load.
+	Affinity string
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -261,7 +271,13 @@
 func (t *Table) Pick(c Criteria, now time.Time) (Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.best(c, now, false)
+	var best *upstreamState
+	if c.Affinity != "" {
+		best = t.byAffinity(c, now)
+	}
+	if best == nil {
+		best = t.best(c, now, false)
+	}
 	if best == nil {
 		best = t.best(c, now, true)
 	}
@@ -297,6 +313,9 @@
 	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 		return false
 	}
+	if !t.open(s.DataCentre, c.Allows) {
+		return false
+	}
 	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
 		return false
 	}
@@ -409,17 +428,25 @@
 	return c, changed
 }
 
-// Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them. With
-// sparseReports, upstreams without a report count with the mean load of the others.
-func (t *Table) Usage(service string, sparseReports bool, now time.Time) (slots int, held float64) {
+// UsageQuery selects upstreams and how their load is estimated.
+type UsageQuery struct {
+	Service string
+	// Allows reports whether upstreams in a data centre count; nil if all do.
+	Allows func(dataCentre string) bool
+	// SparseReports is used as in Criteria.
+	SparseReports bool
+}
+
+// Usage returns the slots of those upstreams of a service that take new requests, and the number of requests at them.
+func (t *Table) Usage(q UsageQuery, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	assumed := 0.0
-	if sparseReports {
-		assumed = t.reportedLoad(service, now)
+	if q.SparseReports {
+		assumed = t.reportedLoad(q.Service, now)
 	}
 	for _, s := range t.upstreams {
-		if s.Service != service || s.Draining {
+		if s.Service != q.Service || s.Draining || !t.open(s.DataCentre, q.Allows) {
 			continue
 		}
 		slots += s.Slots
--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -70,6 +70,10 @@
 	KeepsHistory bool
 	// Resumable is set if a stream may continue at another upstream after the last event that was forwarded.
 	Resumable bool
+	// AllowedRegions are the regions whose upstreams may run the requests.
+	AllowedRegions RegionSet
+	// Sticky is set if requests that concern the same object run faster at the upstream that ran one of them recently.
+	Sticky bool
 }
 
 // Target is a service that receives a share of the requests of a route, in proportion to its weight.
@@ -89,6 +93,8 @@
 	RatePerSecond float64
 	// Burst is the number of requests above the rate that may arrive at once.
 	Burst float64
+	// AllowedRegions are the regions whose upstreams may run the requests, in addition to the restriction of their route.
+	AllowedRegions RegionSet
 }
 
 // Service is a set of upstreams that serve the same requests.
