roster: cold upstreams need permits, and ramp up when they turn warm

Cause: a cold upstream is idle, so its score draws requests from all gateways.

Change: each upstream has a cold state from its announcements, their arrival, and AssumeCold, which is for the return of a data centre from evacuation. With Criteria.LimitCold, cold ones are picked only if Permitted names them, and being cold weighs one request per slot, which decays with a half-life of a second after the upstream has turned warm. Without LimitCold picks and scores are as before.

An announcement that arrives within a second after the return of a data centre does not end the assumption: it may have been made before the return. So does none that was read again with a complete list.

Ruled out: an argument with the time of arrival for Update, since the field HeardAt leaves its callers unchanged; counting cold upstreams out of Usage, which admits programs by the slots and not by the rate.

--- a/internal/sched/roster/missing.go
+++ b/internal/sched/roster/missing.go
@@ -43,3 +43,16 @@
 	}
 	return float64(missing) <= maxMissingFraction*float64(listed)
 }
+
+// MarkLeaving records an upstream's notice that it is leaving, which applies until that start of it ends. The upstream may
+// not be listed yet. It reports whether the notice is new.
+func (t *Table) MarkLeaving(start Start, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.leaving[start]
+	t.leaving[start] = now
+	if s, ok := t.upstreams[start.Instance]; ok && s.Start() == start {
+		s.Draining = true
+	}
+	return !known
+}
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -27,6 +27,10 @@
 	Slots int
 	// Draining upstreams take no new requests.
 	Draining bool
+	// ColdFor is how much longer the upstream stays cold, counted from HeardAt; zero if it is warm.
+	ColdFor time.Duration
+	// HeardAt is when the announcement arrived.
+	HeardAt time.Time
 }
 
 // Load is the load report that an upstream sends with an answer.
@@ -108,6 +112,7 @@
 	// accepting says that the upstream takes requests even if its last answer was incomplete; during its backoff it
 	// is picked if there is no other.
 	accepting bool
+	cold      coldState
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
 }
@@ -116,6 +121,8 @@
 type Table struct {
 	mu        sync.Mutex
 	upstreams map[string]*upstreamState
+	// coldUntil is until when any upstream may be cold.
+	coldUntil time.Time
 	// holdUntil is until when vanished announcements are ignored after an outage of the store.
 	holdUntil time.Time
 	// leaving holds the upstreams that announced that they are leaving, and when. It outlasts their announcements,
@@ -139,19 +146,6 @@
 	return &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time)}
 }
 
-// MarkLeaving records an upstream's notice that it is leaving, which applies until that start of it ends. The upstream may
-// not be listed yet. It reports whether the notice is new.
-func (t *Table) MarkLeaving(start Start, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, known := t.leaving[start]
-	t.leaving[start] = now
-	if s, ok := t.upstreams[start.Instance]; ok && s.Start() == start {
-		s.Draining = true
-	}
-	return !known
-}
-
 // TakeEnded returns the upstreams that ended without notice since the last call.
 func (t *Table) TakeEnded() []Upstream {
 	t.mu.Lock()
@@ -170,7 +164,10 @@
 
 // Update records the latest announcement of an upstream. It returns the address of an earlier start that is gone, and
 // whether the upstream begins to drain.
-func (t *Table) Update(u Upstream) (gone string, drains bool) {
+func (t *Table) Update(u Upstream) (gone string, drains bool) { return t.update(u, false) }
+
+// update records an announcement. Repeated says that it was read with a complete list, which may hold older ones.
+func (t *Table) update(u Upstream, repeated bool) (gone string, drains bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[u.Instance]
@@ -180,12 +177,16 @@
 			t.recordEnd(s)
 		}
 		s = &upstreamState{}
+		if !repeated {
+			s.cold.warmSince = u.HeardAt // It has just started.
+		}
 		t.upstreams[u.Instance] = s
 	}
 	_, leaving := t.leaving[u.Start()]
 	u.Draining = u.Draining || leaving
 	drains = u.Draining && !s.Draining
 	s.Upstream = u
+	t.setCold(s, s.cold.withAnnouncement(u.ColdFor, u.HeardAt, repeated))
 	s.missingSince = time.Time{}
 	return gone, drains
 }
@@ -212,7 +213,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.Instance] = true
-		t.Update(u)
+		t.update(u, true)
 	}
 	for _, id := range t.instances() {
 		if !listed[id] {
@@ -243,6 +244,9 @@
 	SharedPrefixTokens int64
 	// Exclude lists instances that were already tried.
 	Exclude []string
+	// LimitCold says that cold upstreams need a permit, Permitted lists the instances for which there is one.
+	LimitCold bool
+	Permitted []string
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -282,6 +286,9 @@
 	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 		return false
 	}
+	if s.lacksPermit(c, now) {
+		return false
+	}
 	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
 		return false
 	}
@@ -293,6 +300,9 @@
 func (s *upstreamState) score(c Criteria, now time.Time) float64 {
 	score := (1+s.load(now))*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
 	score += s.penalty(now)
+	if c.LimitCold {
+		score += s.cold.penalty(now)
+	}
 	if s.DataCentre != c.DataCentre {
 		score += remotePenalty
 	}
