--- a/internal/state/layout/layout.go
+++ b/internal/state/layout/layout.go
@@ -94,6 +94,8 @@
 	Name string
 	// Engine is set for services of model engines.
 	Engine *Engine
+	// Cold is set for services whose upstreams handle few requests for some time after they start.
+	Cold *Cold
 }
 
 // Engine describes the model engines of a service.
@@ -102,6 +104,15 @@
 	EventTokens int64
 }
 
+// Cold describes how the upstreams of a service start.
+type Cold struct {
+	// Start is how long an upstream stays cold.
+	Start time.Duration
+	// PerSecond is the number of requests per second that a cold upstream handles, from all gateways together; always
+	// positive. It crashes at rates well above that.
+	PerSecond float64
+}
+
 // Limits are the operator's limits on the size of requests; zero means that the operator set no limit.
 type Limits struct {
 	HeaderBytes int
@@ -173,6 +184,25 @@
 	return l.Services[i], true
 }
 
+// Cold returns how the upstreams of the service start; nil if the service has no limit for cold ones.
+func (l *Layout) Cold(service string) *Cold {
+	s, _ := l.Service(service)
+	return s.Cold
+}
+
+// ColdStart returns how long an upstream of the service stays cold; zero if the service has no limit for cold ones.
+func (l *Layout) ColdStart(service string) time.Duration {
+	if c := l.Cold(service); c != nil {
+		return c.Start
+	}
+	return 0
+}
+
+// HasCold reports whether any service has a limit for cold upstreams. A nil Layout has none.
+func (l *Layout) HasCold() bool {
+	return l != nil && slices.ContainsFunc(l.Services, func(s Service) bool { return s.Cold != nil })
+}
+
 // RequiresKeys reports whether callers must present keys on routes that are not Public, which is so if there are
 // workspaces.
 func (l *Layout) RequiresKeys() bool { return len(l.Workspaces) > 0 }
--- a/internal/state/layout/layout_test.go
+++ b/internal/state/layout/layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -69,3 +70,20 @@
 	_, ok = l.Service("s")
 	is.True(!ok)
 }
+
+// TestColdLimitsOfServices guards against limits for upstreams of services that have none.
+func TestColdLimitsOfServices(t *testing.T) {
+	is := is.New(t)
+	l := New(Layout{Services: []Service{{Name: "plain"}, {Name: "slow", Cold: &Cold{Start: time.Minute, PerSecond: 28}}}})
+	is.Equal(l.Cold("slow").PerSecond, 28.0)
+	is.Equal(l.ColdStart("slow"), time.Minute)
+	is.True(l.HasCold())
+	for _, name := range []string{"plain", "unknown"} {
+		is.True(l.Cold(name) == nil)
+		is.Equal(l.ColdStart(name), time.Duration(0))
+	}
+	var none *Layout
+	is.True(!none.HasCold())
+	is.True(none.Cold("slow") == nil)
+	is.True(!New(Layout{Services: []Service{{Name: "plain"}}}).HasCold())
+}
