httpc: a check right before a request is written

Cause: a permit for a cold upstream is valid for 250 ms, and opening a connection may take a second. Requests whose connections were held back would arrive together.

Change: Request.Check is called when the connection exists; its error leaves the request unsent. Nothing changes for requests without it.

Ruled out: a deadline on the context of the exchange, since it would also end requests that were sent in time.

--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -50,6 +50,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check, if set, is called when a connection exists, right before the first byte is written. An error leaves the
+	// request unsent. It is for requests that may be sent within a certain time only, since dialing may take long.
+	Check func() error
 }
 
 // Framing is the way in which the end of a response body is marked.
@@ -117,6 +120,12 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrUnsent)
 	}
+	if q.Check != nil {
+		if err := q.Check(); err != nil {
+			_ = c.Close()
+			return nil, errors.Mark(errors.Wrapf(err, "send request to %s", address), ErrUnsent)
+		}
+	}
 	ex := &exchange{pool: p, address: address, c: c, writeEnded: make(chan struct{})}
 	ex.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ex.send(q); err != nil {
--- a/internal/wire/httpc/httpc_test.go
+++ b/internal/wire/httpc/httpc_test.go
@@ -351,3 +351,21 @@
 		is.Equal(s.conns.Load() == 2, incomplete)
 	}
 }
+
+// TestCheckedRequestIsNotSent guards against a request that is sent although it may no longer be: the check is made when the
+// connection exists.
+func TestCheckedRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := serveEach(t)
+	p := NewPool()
+	errLate := errors.New("late")
+	q := request("1", "ping")
+	q.Check = func() error { return errLate }
+	_, err := p.Do(t.Context(), s.Addr().String(), q, responseID)
+	is.True(errors.Is(err, ErrUnsent))
+	is.True(errors.Is(err, errLate))
+	q.Check = func() error { return nil }
+	a, err := p.Do(t.Context(), s.Addr().String(), q, responseID)
+	is.NoErr(err)
+	a.Close()
+}
