gate: requests to cold upstreams use permits

Cause: as before, all gateways together may overload an upstream that has just started.

Change: for services with a limit, a cold upstream is picked only with a permit. Permits are asked for in the background with /v1/permits from the holder of the partition of cold/INSTANCE, which grants them under its lease. Requests without a permit go to warm upstreams; where none is left they wait for up to 300 ms, or get 503 with the time at which a permit may be asked for. While the store is away, peers are asked to vouch for all assigned partitions if a service has a limit, since the lease covers all of them and any may be asked for permits.

Ruled out: asking for permits at a fixed pace while an upstream is cold, since most would become void; one message for each upstream.

--- /dev/null
+++ b/internal/role/gate/cold.go
@@ -0,0 +1,161 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"galenaward.example/galenaward/internal/sched/roster"
+)
+
+const (
+	// permitWait is how long a request waits for a permit if no warm upstream is left. It covers a message to the
+	// allocator that is late, and is short beside the time after which callers retry.
+	permitWait = 300 * time.Millisecond
+	// permitWaitFraction is the fraction of the remaining time that a request may wait.
+	permitWaitFraction = 0.25
+	// permitPollInterval is how often a waiting request looks for a permit if no message ends meanwhile.
+	permitPollInterval = 50 * time.Millisecond
+	// permitRaces bounds how often an upstream is picked again since another request took its last permit.
+	permitRaces = 4
+)
+
+// errNoPermit is the reason why a request was not sent to a cold upstream, errPermitExpired why it was not sent although
+// it had a permit.
+var (
+	errNoPermit      = errors.New("only cold upstreams are left, and there is no permit for them")
+	errPermitExpired = errors.New("the permit for a cold upstream expired before the request could be sent")
+)
+
+// isColdLimited reports whether cold upstreams of the service need permits.
+func (g *Gateway) isColdLimited(service string) bool { return g.layout.Load().Cold(service) != nil }
+
+// pickUpstream picks an upstream that meets the criteria. If that is a cold one, a permit is used. If a cold one would be
+// better but there is no permit, one is asked for in the background.
+func (g *Gateway) pickUpstream(a *attempts, c roster.Criteria) (roster.Upstream, bool) {
+	a.permit, a.wantsPermit, a.permitDue = nil, false, 0
+	if !g.isColdLimited(c.Service) {
+		return g.roster.Pick(c, time.Now())
+	}
+	c.LimitCold = true
+	u, ok := g.pickPermitted(a, &c)
+	now := time.Now()
+	paused, due := g.permits.paused(c.Service, now)
+	open := c
+	open.Exclude = slices.Concat(c.Exclude, paused)
+	if instance, found := g.roster.WantsPermit(open, now); found {
+		a.wantsPermit = true
+		g.permits.want(instance, c.Service)
+	} else if _, found := g.roster.WantsPermit(c, now); found {
+		a.wantsPermit, a.permitDue = true, due
+	}
+	return u, ok
+}
+
+// pickPermitted picks an upstream that is warm or for which there is a permit, which it takes.
+func (g *Gateway) pickPermitted(a *attempts, c *roster.Criteria) (roster.Upstream, bool) {
+	for range permitRaces {
+		now := time.Now()
+		c.Permitted = g.permits.held(now)
+		u, ok := g.roster.Pick(*c, now)
+		if !ok || !slices.Contains(c.Permitted, u.Instance) {
+			return u, ok
+		}
+		if p, taken := g.permits.take(u.Instance, now); taken {
+			g.metrics.Add("permits_used", 1)
+			a.permit = &p
+			return u, true
+		}
+		g.roster.Done(u.Instance, roster.Abandoned, now) // Another request took the permit.
+	}
+	c.Permitted = nil
+	return g.roster.Pick(*c, time.Now())
+}
+
+// pickOrWait chooses an upstream for the next attempt. If only cold ones are left, it waits for a permit for a short time,
+// unless the allocators have said that none is due by then.
+func (g *Gateway) pickOrWait(ctx context.Context, a *attempts, cached string, bonus float64) (roster.Upstream, bool) {
+	if !g.isColdLimited(a.service) {
+		return g.pick(a, cached, bonus)
+	}
+	began := time.Now()
+	until := began.Add(min(permitWait, time.Duration(permitWaitFraction*float64(a.deadline.Sub(began)))))
+	changed := g.permits.changes()
+	u, ok := g.pick(a, cached, bonus)
+	if ok || !a.wantsPermit {
+		return u, ok
+	}
+	for now := began; !ok && a.wantsPermit && now.Add(a.permitDue).Before(until) && ctx.Err() == nil; now = time.Now() {
+		select {
+		case <-changed:
+		case <-time.After(min(max(a.permitDue, permitPollInterval), until.Sub(now))):
+		case <-ctx.Done():
+		}
+		changed = g.permits.changes()
+		u, ok = g.pick(a, cached, bonus)
+	}
+	g.metrics.Observe("permit_wait", time.Since(began))
+	if !ok && a.lastErr == nil {
+		a.lastErr = errNoPermit
+	}
+	return u, ok
+}
+
+// checkPermit returns an error if the attempt needs a permit and its permit has expired.
+func (a *attempts) checkPermit() error {
+	if a.permit == nil || a.permit.Valid(time.Now()) {
+		return nil
+	}
+	return errPermitExpired
+}
+
+// unsentOutcome returns the outcome of an exchange in which nothing was sent. An expired permit says nothing about the
+// upstream.
+func unsentOutcome(err error) roster.Outcome {
+	if errors.Is(err, errPermitExpired) {
+		return roster.Abandoned
+	}
+	return roster.Unreachable
+}
+
+// vouchedPartitions returns the partitions for which peers are asked to vouch while the store is away: those whose rates
+// this process allocates. With a limit for cold upstreams these are all that it is assigned, since any of them may be asked
+// for permits at any time, and the lease covers all.
+func (g *Gateway) vouchedPartitions(now time.Time) []int {
+	partitions := g.rates.allocated(now)
+	if !g.layout.Load().HasCold() {
+		return partitions
+	}
+	for id := range int(g.settings.Partitions) {
+		if g.owner.Assigned(id) && !slices.Contains(partitions, id) {
+			partitions = append(partitions, id)
+		}
+	}
+	return partitions
+}
+
+// reportCold logs the upstreams that turned cold or warm.
+func (g *Gateway) reportCold() {
+	if !g.layout.Load().HasCold() {
+		return
+	}
+	for _, c := range g.roster.TakeColdChanges(g.isColdLimited, time.Now()) {
+		event := "upstream_warm"
+		if c.Cold {
+			event = "upstream_cold"
+		}
+		g.logEvent(event, "upstream", c.Upstream.Instance, "address", c.Upstream.Address, "service", c.Upstream.Service,
+			"source", c.Source, "announced_ms", c.Upstream.ColdFor.Milliseconds(), "age_ms", c.Age.Milliseconds(),
+			"left_ms", c.Left.Milliseconds())
+	}
+}
+
+// coldUpstreams returns the number of cold upstreams of services that have a limit for them.
+func (g *Gateway) coldUpstreams() int64 {
+	if !g.layout.Load().HasCold() {
+		return 0
+	}
+	return int64(g.roster.ColdCount(g.isColdLimited, time.Now()))
+}
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -11,6 +11,7 @@
 
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/plat/serve"
+	"galenaward.example/galenaward/internal/sched/permit"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
 	"galenaward.example/galenaward/internal/wire/httpc"
@@ -36,6 +37,12 @@
 	lastErr    error
 	// resumeAfter is the ID of the last event that was passed on of a resumable stream.
 	resumeAfter string
+	// permit is the permit for the present attempt; nil if its upstream needs none.
+	permit *permit.Permit
+	// wantsPermit means that the call would have been sent to a cold upstream with a permit, permitDue is how long it takes
+	// until one may be asked for.
+	wantsPermit bool
+	permitDue   time.Duration
 }
 
 // repeatable reports whether the call may be sent to another upstream although one may have run it.
@@ -59,7 +66,7 @@
 		if !a.mayHaveRun && !g.shutdown.Allows(a.deadline) {
 			return g.stopFault("dispatch")
 		}
-		u, ok := g.pick(a, "", 0)
+		u, ok := g.pickOrWait(ctx, a, "", 0)
 		if !ok {
 			break
 		}
@@ -82,10 +89,10 @@
 	if parts := a.call.Turn.Parts; len(parts) > 1 {
 		w.SharedPrefix, w.SharedPrefixTokens = parts[0].ID, parts[0].Tokens
 	}
-	u, ok := g.roster.Pick(w, time.Now())
+	u, ok := g.pickUpstream(a, w)
 	if !ok && len(a.excluded) > 0 && a.sent < a.route.MaxAttempts {
 		w.Exclude = nil
-		u, ok = g.roster.Pick(w, time.Now())
+		u, ok = g.pickUpstream(a, w)
 	}
 	if ok {
 		a.excluded = append(a.excluded, u.Instance)
@@ -106,7 +113,7 @@
 		return g.refuse(fault.UpstreamFailed, "dispatch", "%d upstreams of %q tried: %v", a.sent, a.service, a.lastErr).WithOutcome(fault.Unknown)
 	}
 	return g.refuse(fault.NoUpstream, "dispatch", "no upstream of %q accepted the request (%d sent, %d unreachable): %v",
-		a.service, a.sent, a.unreachable, a.lastErr).WithRetryAfter(shortRetry)
+		a.service, a.sent, a.unreachable, a.lastErr).WithRetryAfter(max(shortRetry, a.permitDue))
 }
 
 // trySingle sends the call to one upstream. Done means that the caller has received an answer or part of one.
@@ -185,13 +192,13 @@
 	}
 	q := &httpc.Request{
 		ID: a.call.ID, Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
-		Header: g.codec.RequestHeaders(a.call, d), Body: body,
+		Header: g.codec.RequestHeaders(a.call, d), Body: body, Check: a.checkPermit,
 	}
 	resp, err := g.pool.Do(ctx, u.Address, q, g.codec.ResponseID)
 	if errors.Is(err, httpc.ErrUnsent) {
 		a.unreachable++
 		a.lastErr = err
-		g.recordFailure(ctx, a, u, roster.Unreachable, err)
+		g.recordFailure(ctx, a, u, unsentOutcome(err), err)
 		return nil, false
 	}
 	a.sent++
--- a/internal/role/gate/feeds.go
+++ b/internal/role/gate/feeds.go
@@ -85,6 +85,7 @@
 	}
 	g.roster.Replace(list, time.Now())
 	g.attributeCrashes()
+	g.reportCold()
 	g.listed.Store(true)
 	g.logEvent("upstreams_listed", "count", len(list))
 }
@@ -112,6 +113,7 @@
 		}
 	}
 	g.attributeCrashes()
+	g.reportCold()
 }
 
 func (g *Gateway) parseUpstream(r store.Record) (roster.Upstream, bool) {
@@ -120,6 +122,7 @@
 		g.logEvent("announcement_skipped", "key", r.Key, "cause", err)
 		return roster.Upstream{}, false
 	}
+	u.HeardAt = time.Now()
 	return u, true
 }
 
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -52,6 +52,7 @@
 	owner     *owner.Owner
 	peers     *peerClient
 	rates     *rates
+	permits   *permits
 	streams   *frame.Streams
 	readers   readers
 	feedCache *feedCache
@@ -107,6 +108,8 @@
 		owner.WithLimits(owner.Limits{RecordBytes: int(s.RecordBytes), AppendBytes: int(s.AppendBytes)}),
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
+	gt.permits = newPermits(gt)
+	d.Metrics.Gauge("cold_upstreams", gt.coldUpstreams)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
 	}); err != nil {
@@ -120,6 +123,7 @@
 	g.Go(gt.housekeeping)
 	g.Go(gt.keepLease)
 	g.Go(gt.sendNotices)
+	g.Go(gt.askPermits)
 	return gt, nil
 }
 
@@ -152,6 +156,8 @@
 			g.roster.ExpireMissing(now)
 			g.attributeCrashes()
 			g.sweepCrashes(now)
+			g.permits.sweep(now)
+			g.reportCold()
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.CanRoute() && !g.shutdown.Begun() && !g.ready.IsReady() {
 				g.ready.Set(true)
--- a/internal/role/gate/lease.go
+++ b/internal/role/gate/lease.go
@@ -49,7 +49,7 @@
 		}
 		now := time.Now()
 		expires := g.owner.LeaseExpires()
-		partitions := g.rates.allocated(now)
+		partitions := g.vouchedPartitions(now)
 		if len(partitions) == 0 || expires.IsZero() || expires.Sub(now) > vouchBefore {
 			if lost && expires.After(now) {
 				lost = false
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -21,14 +21,15 @@
 
 // Paths of the peer API.
 const (
-	turnsPath  = "/v1/turns"
-	borrowPath = "/v1/borrow"
-	adoptPath  = "/v1/adopt"
-	chainPath  = "/v1/chain"
-	storePath  = "/v1/store"
-	pokePath   = "/v1/poke"
-	noticePath = "/v1/notice"
-	assignPath = "/v1/assigned"
+	turnsPath   = "/v1/turns"
+	borrowPath  = "/v1/borrow"
+	adoptPath   = "/v1/adopt"
+	chainPath   = "/v1/chain"
+	storePath   = "/v1/store"
+	pokePath    = "/v1/poke"
+	noticePath  = "/v1/notice"
+	assignPath  = "/v1/assigned"
+	permitsPath = "/v1/permits"
 )
 
 const (
@@ -178,6 +179,7 @@
 	mux.HandleFunc("GET "+turnsPath+"/{id}", g.resumeTurn)
 	mux.HandleFunc("DELETE "+turnsPath+"/{id}", g.endTurn)
 	mux.Handle("POST "+borrowPath, jsonHandler(g, g.grantTokens))
+	mux.Handle("POST "+permitsPath, jsonHandler(g, g.grantPermits))
 	mux.Handle("POST "+chainPath, jsonHandler(g, g.findLocalChain))
 	mux.Handle("POST "+adoptPath, jsonHandler(g, g.adopt))
 	mux.Handle("POST "+pokePath, jsonHandler(g, func(context.Context, struct{}) (struct{}, error) {
--- /dev/null
+++ b/internal/role/gate/permits.go
@@ -0,0 +1,273 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"galenaward.example/galenaward/internal/sched/permit"
+	"galenaward.example/galenaward/internal/sched/rate"
+)
+
+const (
+	// askPermitsInterval is the minimum time between two rounds of permit requests.
+	askPermitsInterval = 20 * time.Millisecond
+	// askPermitsTimeout bounds a message; permits that arrive later have expired.
+	askPermitsTimeout = permit.Validity
+	// permitMessagesPerSecond and permitMessageBurst bound the messages that a gateway sends to peers, each of which takes
+	// some 550 bytes in both directions. Control traffic of all kinds has 6 KB per second.
+	permitMessagesPerSecond, permitMessageBurst = 6, 6
+	// permitWarnInterval is the minimum time between two log lines about permits that nobody grants.
+	permitWarnInterval = time.Second
+)
+
+// permits holds the permits that this gateway has for cold upstreams, and grants those of the upstreams whose partition it
+// holds.
+type permits struct {
+	gateway *Gateway
+	// wake holds an element when permits are wanted.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// borrowers holds what this gateway has of each upstream, services the service of each.
+	borrowers map[string]permit.Borrower
+	services  map[string]string
+	// messages limits the messages to peers.
+	messages rate.Bucket
+	// changed is closed and replaced when a message ends.
+	changed chan struct{}
+	// warned is when a missing answer was last logged.
+	warned time.Time
+	// allocators holds the upstreams whose permits this process grants.
+	allocators map[string]*permitAllocator
+}
+
+func newPermits(g *Gateway) *permits {
+	return &permits{
+		gateway: g, wake: make(chan struct{}, 1), borrowers: make(map[string]permit.Borrower),
+		services: make(map[string]string), changed: make(chan struct{}),
+		messages:   rate.NewBucket(permitMessageBurst, time.Now()),
+		allocators: make(map[string]*permitAllocator),
+	}
+}
+
+// coldPartition returns the partition whose holder grants the permits of the upstream.
+func (g *Gateway) coldPartition(instance string) int { return g.owner.PartitionOf("cold/" + instance) }
+
+// held returns the upstreams for which there is a valid permit.
+func (p *permits) held(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for instance, b := range p.borrowers {
+		if b.Held(now) > 0 {
+			out = append(out, instance)
+		}
+	}
+	return out
+}
+
+// take uses a permit for the upstream. If it was the last one, the next is asked for, since the requests of this gateway go
+// there.
+func (p *permits) take(instance string, now time.Time) (permit.Permit, bool) {
+	p.mu.Lock()
+	b, t, ok := p.borrowers[instance].Take(now)
+	if ok {
+		p.borrowers[instance] = b
+	}
+	last := ok && b.Held(now) == 0
+	service := p.services[instance]
+	p.mu.Unlock()
+	if last {
+		p.want(instance, service)
+	}
+	return t, ok
+}
+
+// want records that a request would have used a permit, and asks for it in the background.
+func (p *permits) want(instance, service string) {
+	p.mu.Lock()
+	p.borrowers[instance] = p.borrowers[instance].WithWanted()
+	p.services[instance] = service
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// changes returns a channel that is closed when the next message ends.
+func (p *permits) changes() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// paused returns the upstreams of the service for which it is too early to ask, and how long it takes until the first of
+// them may be asked for.
+func (p *permits) paused(service string, now time.Time) (instances []string, due time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for instance, b := range p.borrowers {
+		d := b.DueIn(now)
+		if d == 0 || p.services[instance] != service {
+			continue
+		}
+		if len(instances) == 0 || d < due {
+			due = d
+		}
+		instances = append(instances, instance)
+	}
+	return instances, due
+}
+
+// permitMessage is a message to one holder.
+type permitMessage struct {
+	address string
+	self    bool
+	asks    []permitAsk
+}
+
+// askPermits sends permit requests until ctx ends.
+func (g *Gateway) askPermits(ctx context.Context) error {
+	for {
+		select {
+		case <-g.permits.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		for _, q := range g.permits.messagesToSend(time.Now()) {
+			g.group.Go(func(ctx context.Context) error {
+				g.permits.ask(ctx, q)
+				return nil
+			})
+		}
+		select {
+		case <-time.After(askPermitsInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// messagesToSend returns what to ask of each holder, and marks it as asked.
+func (p *permits) messagesToSend(now time.Time) []permitMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byAddress := make(map[string]*permitMessage)
+	for instance, b := range p.borrowers {
+		b, n := b.Ask(now)
+		p.borrowers[instance] = b
+		if n == 0 {
+			continue
+		}
+		address, self, known := p.gateway.owner.AddressOf(p.gateway.coldPartition(instance))
+		if !known {
+			p.borrowers[instance] = b.WithFailure(now)
+			continue
+		}
+		q, ok := byAddress[address]
+		if !ok {
+			q = &permitMessage{address: address, self: self}
+			byAddress[address] = q
+		}
+		q.asks = append(q.asks, permitAsk{instance, p.services[instance], n})
+	}
+	out := make([]permitMessage, 0, len(byAddress))
+	for _, q := range byAddress {
+		if q.self || p.mayAsk(now) {
+			out = append(out, *q)
+			continue
+		}
+		p.gateway.metrics.Add("permits_unasked", 1)
+		for _, a := range q.asks {
+			p.borrowers[a.Instance] = p.borrowers[a.Instance].WithGrant(now, permit.Grant{}, now)
+		}
+	}
+	return out
+}
+
+// mayAsk takes a message from the limit. The caller holds the lock.
+func (p *permits) mayAsk(now time.Time) bool {
+	b, ok := p.messages.Refill(rate.Quota{Rate: permitMessagesPerSecond, Burst: permitMessageBurst}, now).Take(1)
+	p.messages = b
+	return ok
+}
+
+// ask sends a message and records the answer.
+func (p *permits) ask(ctx context.Context, q permitMessage) {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, askPermitsTimeout)
+	defer cancel()
+	request := permitRequest{From: p.gateway.settings.PeerAddress(), Asks: q.asks}
+	var a permitAnswer
+	var err error
+	if q.self {
+		a, err = p.gateway.grantPermits(ctx, request)
+	} else {
+		a, err = callPeer[permitAnswer](ctx, p.gateway.peers, q.address, permitsPath, request)
+	}
+	if p.record(q, a, asked, time.Now()) {
+		return
+	}
+	p.gateway.metrics.Add("permits_no_allocator", 1)
+	p.warn(q, err)
+	p.gateway.owner.RefreshOwners(ctx)
+}
+
+// record records the answer, and reports whether each upstream was decided on. What the answer does not name, or all of it
+// if there was none, counts as failed.
+func (p *permits) record(q permitMessage, a permitAnswer, asked, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	complete := true
+	for _, s := range q.asks {
+		i := slices.IndexFunc(a.Grants, func(g permitGrant) bool { return g.Instance == s.Instance })
+		if i < 0 || a.Grants[i].Moved {
+			p.borrowers[s.Instance] = p.borrowers[s.Instance].WithFailure(now)
+			complete = false
+			continue
+		}
+		p.borrowers[s.Instance] = p.borrowers[s.Instance].WithGrant(asked, a.Grants[i].grant(), now)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return complete
+}
+
+// warn logs a message that nobody answered, at most once per permitWarnInterval.
+func (p *permits) warn(q permitMessage, err error) {
+	p.mu.Lock()
+	suppressed := time.Since(p.warned) < permitWarnInterval
+	if !suppressed {
+		p.warned = time.Now()
+	}
+	p.mu.Unlock()
+	if !suppressed {
+		p.gateway.logEvent("permits_unavailable", "upstream", q.asks[0].Instance, "upstreams", len(q.asks),
+			"allocator", q.address, "moved", err == nil, "cause", err)
+	}
+}
+
+// sweep drops expired permits and what need not be kept of allocators.
+func (p *permits) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for instance, b := range p.borrowers {
+		b, void := b.WithoutExpired(now)
+		if void > 0 {
+			p.gateway.metrics.Add("permits_void", int64(void))
+		}
+		if b.Empty(now) {
+			delete(p.borrowers, instance)
+			delete(p.services, instance)
+			continue
+		}
+		p.borrowers[instance] = b
+	}
+	for instance, al := range p.allocators {
+		if al.allocator.Forgettable(al.perSecond, al.start(), now) {
+			delete(p.allocators, instance)
+		}
+	}
+}
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -95,7 +95,7 @@
 	prompt := turns.Prompt(t.reservation.Chain, q.Call.Body)
 	cached := g.cachedEngine(q)
 	for a.remaining() && ctx.Err() == nil {
-		u, ok := g.pick(a, cached, cacheLoadBonus)
+		u, ok := g.pickOrWait(ctx, a, cached, cacheLoadBonus)
 		if !ok {
 			break
 		}
