gate: the limit of permit requests counts bytes

Cause: the limit of six messages per second rested on an estimated size. Measured on loopback: 406 bytes of HTTP with the answer for one upstream, 987 for five, so messages with many upstreams would have passed the 6 KB per second that all control traffic of a gateway may take.

Change: 3 KB per second by the measured sizes, and at most 16 upstreams in one message, so that the largest fits.

Ruled out: counting what is sent, since the connection's bytes are not known where the decision is made.

--- a/internal/role/gate/cold_test.go
+++ b/internal/role/gate/cold_test.go
@@ -186,20 +186,23 @@
 	is.True(err != nil)
 }
 
-// TestMessagesAreBounded guards against control traffic that grows with the requests: messages to peers have a limit,
-// and those to this process have none.
+// TestMessagesAreBounded guards against control traffic that grows with the requests, and against permit requests that are
+// never sent.
 func TestMessagesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newColdGateway(t.Context())
-		asked := 0
-		for range 1000 {
-			if g.permits.mayAsk(time.Now()) {
+		asked, upstreams := 0, 0
+		for i := range 1000 {
+			if n := 1 + i%maxAsks; g.permits.mayAsk(n, time.Now()) {
 				asked++
+				upstreams += n
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		is.True(asked <= 10*permitMessagesPerSecond+permitMessageBurst)
+		is.True(asked*permitMessageBytes+upstreams*permitAskBytes <= 10*permitTraffic+permitTraffic)
+		is.True(asked > 0)
+		is.True(permitMessageBytes+maxAsks*permitAskBytes <= permitTraffic) // The largest message is sent at some time.
 		g.permits.want("x", "slow")
 		is.Equal(len(g.permits.messagesToSend(time.Now())), 0) // No holder is known.
 		is.Equal(g.permits.borrowers["x"].DueIn(time.Now()), 250*time.Millisecond)
--- a/internal/role/gate/permits.go
+++ b/internal/role/gate/permits.go
@@ -15,9 +15,14 @@
 	askPermitsInterval = 20 * time.Millisecond
 	// askPermitsTimeout bounds a message; permits that arrive later have expired.
 	askPermitsTimeout = permit.Validity
-	// permitMessagesPerSecond and permitMessageBurst bound the messages that a gateway sends to peers, each of which takes
-	// some 550 bytes in both directions. Control traffic of all kinds has 6 KB per second.
-	permitMessagesPerSecond, permitMessageBurst = 6, 6
+	// permitTraffic bounds the messages that a gateway sends to peers and their answers, in bytes per second and at once.
+	// Control traffic of all kinds has 6 KB per second.
+	permitTraffic = 3000
+	// permitMessageBytes and permitAskBytes are about the size of a message with its answer, and of each upstream in it:
+	// 406 bytes of HTTP were measured for one upstream and 987 for five.
+	permitMessageBytes, permitAskBytes = 265, 145
+	// maxAsks bounds the upstreams in one message, so that its size fits into permitTraffic.
+	maxAsks = 16
 	// permitWarnInterval is the minimum time between two log lines about permits that nobody grants.
 	permitWarnInterval = time.Second
 )
@@ -33,8 +38,8 @@
 	// borrowers holds what this gateway has of each upstream, services the service of each.
 	borrowers map[string]permit.Borrower
 	services  map[string]string
-	// messages limits the messages to peers.
-	messages rate.Bucket
+	// traffic limits the messages to peers, in bytes.
+	traffic rate.Bucket
 	// changed is closed and replaced when a message ends.
 	changed chan struct{}
 	// warned is when a missing answer was last logged.
@@ -47,7 +52,7 @@
 	return &permits{
 		gateway: g, wake: make(chan struct{}, 1), borrowers: make(map[string]permit.Borrower),
 		services: make(map[string]string), changed: make(chan struct{}),
-		messages:   rate.NewBucket(permitMessageBurst, time.Now()),
+		traffic:    rate.NewBucket(permitTraffic, time.Now()),
 		allocators: make(map[string]*permitAllocator),
 	}
 }
@@ -171,26 +176,36 @@
 			q = &permitMessage{address: address, self: self}
 			byAddress[address] = q
 		}
+		if len(q.asks) == maxAsks {
+			p.leaveOut(instance, now)
+			continue
+		}
 		q.asks = append(q.asks, permitAsk{instance, p.services[instance], n})
 	}
 	out := make([]permitMessage, 0, len(byAddress))
 	for _, q := range byAddress {
-		if q.self || p.mayAsk(now) {
+		if q.self || p.mayAsk(len(q.asks), now) {
 			out = append(out, *q)
 			continue
 		}
-		p.gateway.metrics.Add("permits_unasked", 1)
 		for _, a := range q.asks {
-			p.borrowers[a.Instance] = p.borrowers[a.Instance].WithGrant(now, permit.Grant{}, now)
+			p.leaveOut(a.Instance, now)
 		}
 	}
 	return out
 }
 
-// mayAsk takes a message from the limit. The caller holds the lock.
-func (p *permits) mayAsk(now time.Time) bool {
-	b, ok := p.messages.Refill(rate.Quota{Rate: permitMessagesPerSecond, Burst: permitMessageBurst}, now).Take(1)
-	p.messages = b
+// leaveOut records that an upstream is not asked for after all; a later request asks again. The caller holds the lock.
+func (p *permits) leaveOut(instance string, now time.Time) {
+	p.gateway.metrics.Add("permits_unasked", 1)
+	p.borrowers[instance] = p.borrowers[instance].WithGrant(now, permit.Grant{}, now)
+}
+
+// mayAsk takes a message with the given number of upstreams from the limit. The caller holds the lock.
+func (p *permits) mayAsk(asks int, now time.Time) bool {
+	q := rate.Quota{Rate: permitTraffic, Burst: permitTraffic}
+	b, ok := p.traffic.Refill(q, now).Take(float64(permitMessageBytes + asks*permitAskBytes))
+	p.traffic = b
 	return ok
 }
 
