--- a/internal/role/gate/evacuate.go
+++ b/internal/role/gate/evacuate.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"time"
+
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/store"
 )
@@ -21,6 +23,10 @@
 
 // setEvacuations is called only by the goroutine that follows the settings, so that no change gets lost in between.
 func (g *Gateway) setEvacuations(e roster.Evacuations, source string) {
+	// Upstreams may have turned cold during the evacuation, so they count as cold before requests reach them again.
+	for _, dc := range g.roster.Evacuations().Without(e) {
+		g.roster.AssumeCold(dc, g.layout.Load().ColdStart, time.Now())
+	}
 	for _, c := range g.roster.SetEvacuations(e) {
 		event := "data_centre_returned"
 		if c.Evacuated {
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -55,6 +55,7 @@
 	owner     *owner.Owner
 	peers     *peerClient
 	rates     *rates
+	permits   *permits
 	streams   *frame.Streams
 	readers   readers
 	feedCache *feedCache
@@ -116,6 +117,8 @@
 	gt.rates = newRates(gt)
 	gt.registerEvacuationGauges()
 	gt.registerAffinityGauges()
+	gt.permits = newPermits(gt)
+	d.Metrics.Gauge("cold_upstreams", gt.coldUpstreams)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
 	}); err != nil {
@@ -129,6 +132,7 @@
 	g.Go(gt.housekeeping)
 	g.Go(gt.keepLease)
 	g.Go(gt.sendNotices)
+	g.Go(gt.askPermits)
 	return gt, nil
 }
 
@@ -162,6 +166,8 @@
 			g.attributeCrashes()
 			g.sweepCrashes(now)
 			g.returnIdle(now.Add(-allowanceIdle))
+			g.permits.sweep(now)
+			g.reportCold()
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.CanRoute() && !g.shutdown.Begun() && !g.ready.IsReady() {
 				g.ready.Set(true)
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -21,15 +21,16 @@
 
 // Paths of the peer API.
 const (
-	turnsPath  = "/v1/turns"
-	borrowPath = "/v1/borrow"
-	adoptPath  = "/v1/adopt"
-	chainPath  = "/v1/chain"
-	storePath  = "/v1/store"
-	pokePath   = "/v1/poke"
-	noticePath = "/v1/notice"
-	assignPath = "/v1/assigned"
-	placePath  = "/v1/place"
+	turnsPath   = "/v1/turns"
+	borrowPath  = "/v1/borrow"
+	adoptPath   = "/v1/adopt"
+	chainPath   = "/v1/chain"
+	storePath   = "/v1/store"
+	pokePath    = "/v1/poke"
+	noticePath  = "/v1/notice"
+	assignPath  = "/v1/assigned"
+	placePath   = "/v1/place"
+	permitsPath = "/v1/permits"
 	// grantsPath asks for tokens of a program's budget, returnsPath returns them, recallPath asks for unused ones.
 	grantsPath  = "/v1/grants"
 	returnsPath = "/v1/returns"
@@ -184,6 +185,7 @@
 	mux.HandleFunc("DELETE "+turnsPath+"/{id}", g.endTurn)
 	g.registerGrantHandlers(mux)
 	mux.Handle("POST "+borrowPath, jsonHandler(g, g.grantTokens))
+	mux.Handle("POST "+permitsPath, jsonHandler(g, g.grantPermits))
 	mux.Handle("POST "+chainPath, jsonHandler(g, g.findLocalChain))
 	mux.Handle("POST "+adoptPath, jsonHandler(g, g.adopt))
 	mux.Handle("POST "+pokePath, jsonHandler(g, func(context.Context, struct{}) (struct{}, error) {
--- a/internal/sched/roster/evacuate.go
+++ b/internal/sched/roster/evacuate.go
@@ -57,6 +57,18 @@
 // Contains reports whether the data centre is evacuated.
 func (e Evacuations) Contains(dataCentre string) bool { return e.dataCentres[dataCentre] }
 
+// Without returns the data centres of the set that are not in the other one, sorted.
+func (e Evacuations) Without(other Evacuations) []string {
+	var out []string
+	for dc := range e.dataCentres {
+		if !other.Contains(dc) {
+			out = append(out, dc)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Len returns the number of evacuated data centres.
 func (e Evacuations) Len() int { return len(e.dataCentres) }
 
@@ -84,15 +96,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []EvacuationChange
-	for dc := range e.dataCentres {
-		if !t.evacuations.Contains(dc) {
-			out = append(out, EvacuationChange{DataCentre: dc, Evacuated: true, Upstreams: t.countIn(dc)})
-		}
+	for _, dc := range e.Without(t.evacuations) {
+		out = append(out, EvacuationChange{DataCentre: dc, Evacuated: true, Upstreams: t.countIn(dc)})
 	}
-	for dc := range t.evacuations.dataCentres {
-		if !e.Contains(dc) {
-			out = append(out, EvacuationChange{DataCentre: dc, Upstreams: t.countIn(dc)})
-		}
+	for _, dc := range t.evacuations.Without(e) {
+		out = append(out, EvacuationChange{DataCentre: dc, Upstreams: t.countIn(dc)})
 	}
 	slices.SortFunc(out, func(a, b EvacuationChange) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	t.evacuations = e
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -27,6 +27,10 @@
 	Slots int
 	// Draining upstreams take no new requests.
 	Draining bool
+	// ColdFor is how much longer the upstream stays cold, counted from HeardAt; zero if it is warm.
+	ColdFor time.Duration
+	// HeardAt is when the announcement arrived.
+	HeardAt time.Time
 }
 
 // Load is the load report that an upstream sends with an answer.
@@ -113,6 +117,7 @@
 	// accepting says that the upstream takes requests even if its last answer was incomplete; during its backoff it
 	// is picked if there is no other.
 	accepting bool
+	cold      coldState
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
 	// instanceHash is used by affinityHash only.
@@ -123,6 +128,8 @@
 type Table struct {
 	mu        sync.Mutex
 	upstreams map[string]*upstreamState
+	// coldUntil is until when any upstream may be cold.
+	coldUntil time.Time
 	// holdUntil is until when vanished announcements are ignored after an outage of the store.
 	holdUntil time.Time
 	// leaving holds the upstreams that announced that they are leaving, and when. It outlasts their announcements,
@@ -149,19 +156,6 @@
 	return &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time)}
 }
 
-// MarkLeaving records an upstream's notice that it is leaving, which applies until that start of it ends. The upstream may
-// not be listed yet. It reports whether the notice is new.
-func (t *Table) MarkLeaving(start Start, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, known := t.leaving[start]
-	t.leaving[start] = now
-	if s, ok := t.upstreams[start.Instance]; ok && s.Start() == start {
-		s.Draining = true
-	}
-	return !known
-}
-
 // TakeEnded returns the upstreams that ended without notice since the last call.
 func (t *Table) TakeEnded() []Upstream {
 	t.mu.Lock()
@@ -180,7 +174,10 @@
 
 // Update records the latest announcement of an upstream. It returns the address of an earlier start that is gone, and
 // whether the upstream begins to drain.
-func (t *Table) Update(u Upstream) (gone string, drains bool) {
+func (t *Table) Update(u Upstream) (gone string, drains bool) { return t.update(u, false) }
+
+// update records an announcement. Repeated says that it was read with a complete list, which may hold older ones.
+func (t *Table) update(u Upstream, repeated bool) (gone string, drains bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[u.Instance]
@@ -190,12 +187,16 @@
 			t.recordEnd(s)
 		}
 		s = &upstreamState{}
+		if !repeated {
+			s.cold.warmSince = u.HeardAt // It has just started.
+		}
 		t.upstreams[u.Instance] = s
 	}
 	_, leaving := t.leaving[u.Start()]
 	u.Draining = u.Draining || leaving
 	drains = u.Draining && !s.Draining
 	s.Upstream = u
+	t.setCold(s, s.cold.withAnnouncement(u.ColdFor, u.HeardAt, repeated))
 	s.missingSince = time.Time{}
 	return gone, drains
 }
@@ -222,7 +223,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.Instance] = true
-		t.Update(u)
+		t.update(u, true)
 	}
 	for _, id := range t.instances() {
 		if !listed[id] {
@@ -264,6 +265,9 @@
 	// Affinity identifies the object that the request concerns; empty for none. Requests with the same value go to the same
 	// upstream, bounded by its load.
 	Affinity string
+	// LimitCold says that cold upstreams need a permit, Permitted lists the instances for which there is one.
+	LimitCold bool
+	Permitted []string
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -293,10 +297,7 @@
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
 	var best *upstreamState
 	var bestScore float64
-	assumed := 0.0
-	if c.SparseReports {
-		assumed = t.reportedLoad(c.Service, now)
-	}
+	assumed := t.assumedLoad(c, now)
 	for _, s := range t.upstreams {
 		if !t.eligible(s, c, now, includeBroken) {
 			continue
@@ -313,7 +314,7 @@
 	if s.Service != c.Service || s.Draining || slices.Contains(c.Exclude, s.Instance) {
 		return false
 	}
-	if !t.open(s.DataCentre, c.Allows) {
+	if !t.open(s.DataCentre, c.Allows) || s.lacksPermit(c, now) {
 		return false
 	}
 	if !s.missingSince.IsZero() && t.fewMissing(c.Service) {
@@ -327,6 +328,9 @@
 func (s *upstreamState) score(c Criteria, load float64, now time.Time) float64 {
 	score := (1+load)*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
 	score += s.penalty(now)
+	if c.LimitCold {
+		score += s.cold.penalty(now)
+	}
 	if s.DataCentre != c.DataCentre {
 		score += c.remotePenalty()
 	}
@@ -370,6 +374,14 @@
 	return float64(s.inFlight)/slots + assumed
 }
 
+// assumedLoad returns the load of upstreams without a report. The caller holds the lock.
+func (t *Table) assumedLoad(c Criteria, now time.Time) float64 {
+	if !c.SparseReports {
+		return 0
+	}
+	return t.reportedLoad(c.Service, now)
+}
+
 // reported reports whether there is a load report that is recent enough.
 func (s *upstreamState) reported(now time.Time) bool {
 	return now.Sub(s.loadReportedAt) < loadReportTTL
