gate: a turn no longer receives the kept answer to another turn with its request ID

Cause: a home keeps the stream of a turn for 5 s after its end, under a hash of workspace and request ID and the number of the attempt. A second turn with the same request ID that arrives through another gateway was given the kept stream. Nothing ran and the account counted nothing, so a looping program received tokens beyond its budget; a turn of another program received the first program's answer or refusal. TestBudgetWithoutHistory makes its request IDs of the address of a variable, which the allocator may use again after a garbage collection.

Seen: with request IDs, reservations and reused streams logged on (a trial), four processes side by side, 6 of 900 runs broke the budget: five with 180 tokens, one with 150. In all six the nine IDs of one round were those of an earlier round, and six kept streams were reused. Of the 894 others one had repeated IDs, with 120 tokens.

Ruled out: hand-overs. In all six runs the program's partition had one holder and one opening, and its ledger admitted four turns (120 tokens). By reading: accounts, fences, openings of empty partitions, records queued at a close, and reopening.

Change: the gateway that sends a turn chooses a random stream ID for each attempt. A turn from an older gateway, without the field, is kept under the hash as before.

--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -49,8 +50,11 @@
 	RetentionMS int64 `json:"retention_ms"`
 	// LeftMS is the time left for the turn.
 	LeftMS int64 `json:"left_ms"`
-	// Try numbers the attempts to reach an owner, so that the refusal of an earlier attempt is not mistaken for the
-	// response.
+	// StreamID identifies this attempt's stream at the owner. It is chosen at random by the gateway that asks, so that
+	// neither the refusal of an earlier attempt nor the answer to another request with the same call ID, which the owner
+	// keeps for a while, is taken for the answer. It is empty if an older version of the gateway asks.
+	StreamID string `json:"stream_id,omitempty"`
+	// Try numbers the attempts to reach an owner.
 	Try int `json:"try"`
 	// ProgramLeftMS is the time left until the program should be finished; zero if unknown.
 	ProgramLeftMS int64 `json:"program_left_ms"`
@@ -154,7 +158,8 @@
 
 // fetchTurn runs the turn at a peer, and cancels it there if the caller disconnects.
 func (g *Gateway) fetchTurn(ctx context.Context, address string, q *turnRequest, out sink) *fault.Fault {
-	id := q.streamID()
+	id := rand.Text()
+	q.StreamID = id
 	var failed *fault.Fault
 	done := false
 	f := g.peers.fetcher.Fetch(ctx, frame.Request{
@@ -194,8 +199,11 @@
 	return f
 }
 
-// streamID returns an ID for this attempt of the turn. It is a hash, since call IDs may be arbitrary text.
+// streamID returns the ID of this attempt's stream. Older versions of the gateway use a hash of the call ID.
 func (q *turnRequest) streamID() string {
+	if q.StreamID != "" {
+		return q.StreamID
+	}
 	return strconv.FormatUint(xxhash.Sum64String(q.Workspace+"\x00"+q.Call.ID), 36) + "-" + strconv.Itoa(q.Try)
 }
 
