owner: a partition that was lost before it was served is opened again

Cause: drop returned early for a partition that was not in held, and left its entry in cancels. assign took it for one that is being opened and did not open it again while it stayed assigned, so its programs had no holder until the group changed. It happens when a holder is fenced between loading the accounts and serving, and is assigned the partition again before it learns of the generation in between, as when three gateways start within some milliseconds.

Change: drop removes the entry of its own opening in either case, and leaves that of a newer opening alone; a partition is not served once a newer opening has begun.

--- a/internal/role/owner/assign.go
+++ b/internal/role/owner/assign.go
@@ -81,21 +81,24 @@
 	}
 }
 
-// drop marks the partition lost and stops its append loop.
+// drop marks the partition lost and stops its goroutines, so that the next heartbeat opens it again if it is still
+// assigned to this process. That holds also for a partition that is lost before it is served.
 func (o *Owner) drop(p *Partition, cause error) {
 	p.markLost(cause)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.held[p.id] != p {
-		return
+	if o.held[p.id] == p {
+		delete(o.held, p.id)
 	}
-	delete(o.held, p.id)
-	if cancel, ok := o.cancels[p.id]; ok {
+	if cancel, ok := o.cancels[p.id]; ok && o.isNewestOpening(p) {
 		cancel()
 		delete(o.cancels, p.id)
 	}
 }
 
+// isNewestOpening reports whether this process has not begun to open the partition again. The caller holds the lock.
+func (o *Owner) isNewestOpening(p *Partition) bool { return o.epochs[p.id] == p.epoch }
+
 // openingsPerGeneration is the number of epochs that each generation of the group has for a partition.
 const openingsPerGeneration = 1 << 20
 
@@ -137,11 +140,11 @@
 	})
 }
 
-// startServing makes the partition available to turns unless it is already lost.
+// startServing makes the partition available to turns unless it is already lost or this process opens it again.
 func (o *Owner) startServing(p *Partition) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if p.isLost() {
+	if p.isLost() || !o.isNewestOpening(p) {
 		return
 	}
 	o.held[p.id] = p
