gateway: use the limits on callers, with settings and a budget from memory_mb

Change: settings max_fds, max_connections_per_address, max_header_bytes, max_header_lines, max_leading_bytes, head_timeout_ms, read_timeout_ms, write_timeout_ms, idle_timeout_ms, request_memory_mb, request_memory_wait_ms. A quarter of memory_mb is for callers' requests, an eighth for peers', a quarter for connections of 32 KB. The template fills in max_fds instead of the constant 4,000, which a VM with 3,075 descriptors does not have. The size of a head is what was received. Readiness checks and peers have limits of their own; a peer's turn had no limit on its body at all.

TestMemoryStaysBounded now also asks for an ordinary request beside the crowd; crowds and bounds are unchanged.

--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -33,8 +33,9 @@
 	FirstStart bool `json:"first_start"`
 	// MemoryMB bounds the memory of the process in megabytes.
 	MemoryMB int64 `json:"memory_mb"`
-	// MaxConnections bounds the number of open connections from callers.
-	MaxConnections int64 `json:"max_connections"`
+	// MaxFDs is the number of file descriptors of the VM, which bounds connections; zero if unknown.
+	MaxFDs int64 `json:"max_fds"`
+	CallerLimits
 	// StopMS bounds a graceful stop in milliseconds.
 	StopMS int64 `json:"stop_ms"`
 	// LogDebug enables log events of level debug.
@@ -45,7 +46,8 @@
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
-		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
+		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256,
+		CallerLimits: defaultCallerLimits(), StopMS: 8000,
 	}
 }
 
@@ -78,7 +80,10 @@
 	errs = append(errs, checkMin("record_bytes", g.RecordBytes, 16<<10)...)
 	errs = append(errs, checkMin("append_bytes", g.AppendBytes, g.RecordBytes)...)
 	errs = append(errs, checkMin("memory_mb", g.MemoryMB, 32)...)
-	errs = append(errs, checkMin("max_connections", g.MaxConnections, 1)...)
+	errs = append(errs, g.validateCallerLimits()...)
+	if g.MaxFDs != 0 {
+		errs = append(errs, checkMin("max_fds", g.MaxFDs, 2*fileFDs)...)
+	}
 	errs = append(errs, checkMin("stop_ms", g.StopMS, 0)...)
 	if g.ListenCallers == g.ListenPeers {
 		errs = append(errs, FieldError{
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -108,7 +108,10 @@
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
-		ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
+		ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
+		MaxConnections: s.PeerConnections(), MaxHeaderBytes: maxPeerHeadBytes, MaxHeaderLines: maxPeerHeadLines,
+		MaxLeadingBytes: int(s.MaxLeadingBytes),
+		Budget:          serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()), Metrics: d.Metrics, Log: d.Log,
 	}); err != nil {
 		return nil, err
 	}
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/plat/serve"
 	"galenaward.example/galenaward/internal/sched/rate"
 	"galenaward.example/galenaward/internal/state/store"
 	"galenaward.example/galenaward/internal/state/turns"
@@ -34,6 +35,12 @@
 const (
 	// peerReadTimeout bounds the time for reading a request from a peer.
 	peerReadTimeout = 5 * time.Second
+	// peerWriteTimeout bounds the time in which a peer must take the next part of a response.
+	peerWriteTimeout = 10 * time.Second
+	// maxPeerHeadBytes and maxPeerHeadLines bound the head of a request from a peer. The parameters of a call are in its
+	// body, so heads are short.
+	maxPeerHeadBytes = 8 << 10
+	maxPeerHeadLines = 128
 	// peerIdleTimeout is longer than clientIdleTimeout, so that clients close idle connections first.
 	peerIdleTimeout = 30 * time.Second
 	// clientIdleTimeout is how long an idle connection to a peer is kept open.
@@ -198,8 +205,8 @@
 func jsonHandler[Q, A any](g *Gateway, f func(context.Context, Q) (A, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var q Q
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&q); err != nil {
-			fault.WriteJSON(w, g.refuse(fault.InvalidRequest, "decode", "%v", err))
+		if f := g.decodePeerRequest(r, &q); f != nil {
+			fault.WriteJSON(w, f)
 			return
 		}
 		a, err := f(r.Context(), q)
@@ -213,3 +220,15 @@
 		}
 	})
 }
+
+// decodePeerRequest decodes the body of a request from a peer. A request for which there is no memory has not run.
+func (g *Gateway) decodePeerRequest(r *http.Request, q any) *fault.Fault {
+	err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(q)
+	switch {
+	case errors.Is(err, serve.ErrBudget):
+		return g.refuse(fault.Overloaded, "decode", "%v", err).WithRetryAfter(shortRetry)
+	case err != nil:
+		return g.refuse(fault.InvalidRequest, "decode", "%v", err)
+	}
+	return nil
+}
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -227,8 +227,8 @@
 // beginTurn handles a peer's request to run a turn.
 func (g *Gateway) beginTurn(w http.ResponseWriter, r *http.Request) {
 	q := &turnRequest{}
-	if err := json.NewDecoder(r.Body).Decode(q); err != nil {
-		fault.WriteJSON(w, g.refuse(fault.InvalidRequest, "decode", "%v", err))
+	if f := g.decodePeerRequest(r, q); f != nil {
+		fault.WriteJSON(w, f)
 		return
 	}
 	id := q.streamID()
