entry, sidecar: bound heads, unread responses and the memory of callers' requests

Cause: the same server code, with 1 MB heads at the listeners for processes and operators, no time limit on a head there, and no bound on the bodies of all callers together. Change: settings write_timeout_ms (30000, as the handler had for one write) and request_memory_mb (256) of entries. A body without memory is refused with overloaded, not run. Listeners for processes keep no limit on the time of a request, since streams run long. Ruled out: a budget for sidecars, which have no setting for their memory; only processes reach them.

--- a/internal/plat/config/entry.go
+++ b/internal/plat/config/entry.go
@@ -30,6 +30,11 @@
 	IdleTimeoutMS int64 `json:"idle_timeout_ms"`
 	// MaxConnections bounds the number of open connections from callers.
 	MaxConnections int64 `json:"max_connections"`
+	// WriteTimeoutMS bounds the time in which a caller must take the next part of an answer, at most 64 KB.
+	WriteTimeoutMS int64 `json:"write_timeout_ms"`
+	// RequestMemoryMB bounds the memory of callers' requests that are read and not yet answered. The default holds 64 of
+	// the largest bodies.
+	RequestMemoryMB int64 `json:"request_memory_mb"`
 	// UnreadyMS is how long an entry that shuts down reports unready before it refuses connections.
 	UnreadyMS int64 `json:"unready_ms"`
 }
@@ -39,7 +44,7 @@
 	return &Entry{
 		Common: defaultCommon(), ListenCallers: "127.0.0.1:8080", Slots: 1, SharesPerWorkspace: 4,
 		SlotLeaseMS: 30_000, SlotOutageMS: 3_600_000, SuspectAfterMS: 3000, MaxBodyBytes: 4 << 20, ReadTimeoutMS: 10_000,
-		IdleTimeoutMS: 60_000, MaxConnections: 20_000, UnreadyMS: 1000,
+		IdleTimeoutMS: 60_000, MaxConnections: 20_000, WriteTimeoutMS: 30_000, RequestMemoryMB: 256, UnreadyMS: 1000,
 	}
 }
 
@@ -57,6 +62,8 @@
 	errs = append(errs, checkMin("read_timeout_ms", e.ReadTimeoutMS, 10)...)
 	errs = append(errs, checkMin("idle_timeout_ms", e.IdleTimeoutMS, 10)...)
 	errs = append(errs, checkMin("max_connections", e.MaxConnections, 1)...)
+	errs = append(errs, checkMin("write_timeout_ms", e.WriteTimeoutMS, 10)...)
+	errs = append(errs, checkMin("request_memory_mb", e.RequestMemoryMB, 1)...)
 	errs = append(errs, checkMin("unready_ms", e.UnreadyMS, 0)...)
 	if e.Slot >= e.Slots {
 		errs = append(errs, FieldError{
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -30,7 +30,13 @@
 )
 
 const (
-	maxHeaderBytes  = 32 << 10
+	maxHeaderBytes = 32 << 10
+	// maxHeaderLines is as many lines of four bytes, the shortest valid ones, as fit into maxHeaderBytes.
+	maxHeaderLines = maxHeaderBytes / 4
+	// maxLeadingBytes bounds the empty lines before a request.
+	maxLeadingBytes = 64
+	// memoryWait is how long a request waits for memory before it is refused.
+	memoryWait      = 500 * time.Millisecond
 	peerIdle        = time.Minute
 	maxCachedModels = 100_000
 	readyPoll       = 20 * time.Millisecond
@@ -142,7 +148,9 @@
 	c := e.conf
 	e.callerServer, err = serve.Start(e.group, c.ListenCallers, e.wrap(api), serve.Options{
 		ReadTimeout: config.Millis(c.ReadTimeoutMS), IdleTimeout: config.Millis(c.IdleTimeoutMS),
-		MaxConnections: int(c.MaxConnections), MaxHeaderBytes: maxHeaderBytes,
+		WriteTimeout: config.Millis(c.WriteTimeoutMS), MaxConnections: int(c.MaxConnections),
+		MaxHeaderBytes: maxHeaderBytes, MaxHeaderLines: maxHeaderLines, MaxLeadingBytes: maxLeadingBytes,
+		Budget: serve.NewBudget(c.RequestMemoryMB<<20, memoryWait), Metrics: e.metrics, Log: e.logger,
 	})
 	if err != nil {
 		return err
@@ -150,11 +158,11 @@
 	ts := ctlpb.NewEntryServer(control{e})
 	mux := http.NewServeMux()
 	mux.Handle(ts.PathPrefix(), ts)
-	if e.peerServer, err = serve.Start(e.group, c.ListenPeers, mux, serve.Options{IdleTimeout: peerIdle}); err != nil {
+	if e.peerServer, err = serve.Start(e.group, c.ListenPeers, mux, e.internalOptions()); err != nil {
 		return err
 	}
 	ops, err := serve.Start(
-		e.group, c.ListenOperators, serve.NewOperatorHandler(e.ready, e.metrics), serve.Options{IdleTimeout: peerIdle})
+		e.group, c.ListenOperators, serve.NewOperatorHandler(e.ready, e.metrics), e.internalOptions())
 	if err != nil {
 		return err
 	}
@@ -162,6 +170,15 @@
 	return nil
 }
 
+// internalOptions returns the limits of the listeners for other processes and for operators.
+func (e *Entry) internalOptions() serve.Options {
+	return serve.Options{
+		HeadTimeout: config.Millis(e.conf.ReadTimeoutMS), WriteTimeout: config.Millis(e.conf.WriteTimeoutMS),
+		IdleTimeout: peerIdle, MaxHeaderBytes: maxHeaderBytes, MaxHeaderLines: maxHeaderLines,
+		MaxLeadingBytes: maxLeadingBytes, Metrics: e.metrics, Log: e.logger,
+	}
+}
+
 func (e *Entry) run() {
 	for _, f := range []func(context.Context) error{
 		e.follower.Run, e.follower.RunSnapshots, e.list.Run, e.slotClaimer.Run, e.watchKeys, e.gossip, e.awaitReady,
--- a/internal/role/entry/middleware.go
+++ b/internal/role/entry/middleware.go
@@ -11,9 +11,11 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"galenaward.example/galenaward/internal/plat/fault"
+	"galenaward.example/galenaward/internal/plat/serve"
 	"galenaward.example/galenaward/internal/plat/telem"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -81,7 +83,7 @@
 		return f
 	}
 	limit := e.conf.MaxBodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := serve.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
 		return e.bodyFault(err, limit)
 	}
@@ -118,6 +120,9 @@
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return fault.New(fault.BodyTooLarge, stepDecode, e.vm, "body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, serve.ErrBudget) {
+		return fault.New(fault.Overloaded, stepDecode, e.vm, "%s", err).WithRetryAfter(retryOtherEntry)
+	}
 	return fault.New(fault.InvalidRequest, stepDecode, e.vm, "body could not be read: %s", err)
 }
 
--- a/internal/role/sidec/sidecar.go
+++ b/internal/role/sidec/sidecar.go
@@ -34,7 +34,13 @@
 	settingsPollInterval = 10 * time.Millisecond
 	drainPollInterval    = 20 * time.Millisecond
 	idleTimeout          = time.Minute
-	logWaitTimeout       = time.Second
+	// headTimeout bounds the time to send a head, writeTimeout that to take the next part of a response.
+	headTimeout  = 10 * time.Second
+	writeTimeout = 30 * time.Second
+	// maxHeaderBytes and maxLeadingBytes bound a head and the empty lines before it.
+	maxHeaderBytes  = 32 << 10
+	maxLeadingBytes = 64
+	logWaitTimeout  = time.Second
 )
 
 // Sidecar is a running sidecar process.
@@ -144,11 +150,11 @@
 	var err error
 	if s.peerServer, err = serve.Start(s.group, s.config.ListenPeers,
 		requireInstance(s.Instance, s.config.VM, ts.PathPrefix(), mux),
-		serve.Options{IdleTimeout: idleTimeout}); err != nil {
+		s.serverOptions()); err != nil {
 		return err
 	}
 	ops, err := serve.Start(s.group, s.config.ListenOperators, serve.NewOperatorHandler(s.ready, s.metrics),
-		serve.Options{IdleTimeout: idleTimeout})
+		s.serverOptions())
 	if err != nil {
 		return err
 	}
@@ -156,6 +162,14 @@
 	return nil
 }
 
+// serverOptions returns the limits of the listeners.
+func (s *Sidecar) serverOptions() serve.Options {
+	return serve.Options{
+		HeadTimeout: headTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderLines: maxHeaderBytes / 4, MaxLeadingBytes: maxLeadingBytes, Metrics: s.metrics, Log: s.logger,
+	}
+}
+
 // advertised returns the address under which other processes reach this one.
 func (s *Sidecar) advertised() string {
 	if s.config.AdvertisePeers != "" {
