--- a/internal/sched/admit/adaptive.go
+++ b/internal/sched/admit/adaptive.go
@@ -4,8 +4,9 @@
 
 const (
 	// minMaxLoad and maxMaxLoad bound the load at which an Adaptive lets programs start. Below the former, engines have free
-	// slots; above the latter, a turn waits for two others before it begins.
-	minMaxLoad, maxMaxLoad = 0.9, 2.0
+	// slots. The latter bounds how many programs a burst can start before the turns' waits show it; beyond it, engines also
+	// run out of memory and preempt turns.
+	minMaxLoad, maxMaxLoad = 0.9, 1.5
 	// lateLoadFraction is the fraction of the limit above which a program that is expected to end late may not start.
 	lateLoadFraction = 0.7
 	// waitFraction is the fraction of the latency objective that turns may wait at engines on average. The rest is for the
--- a/internal/sched/admit/adaptive_test.go
+++ b/internal/sched/admit/adaptive_test.go
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	e := engines{6, 25 * time.Millisecond, 200 * time.Millisecond, 1.06}
 	a := settle(e, time.Second, 60)
-	is.True(a.Limit() > 1.9)
+	is.Equal(a.Limit(), maxMaxLoad)
 	at := a.adjustedAt
 	for range 100 {
 		at = at.Add(20 * time.Millisecond)
@@ -106,7 +106,7 @@
 		at = at.Add(20 * time.Millisecond)
 		a = a.WithFirstEvent(slow, 300*time.Millisecond, at)
 	}
-	is.True(a.Limit() > 1.9)
+	is.Equal(a.Limit(), maxMaxLoad)
 }
 
 // TestPolicyWithoutTurnsIsTheDefault guards against programs that are admitted before anything is known of the engines.
