--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -30,7 +30,11 @@
 }
 
 // Load is the load report that an upstream sends with an answer.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is the time that work currently takes on the machine, in percent of the usual time; 0 if not reported.
+	Pace int
+}
 
 // Outcome says how an exchange with an upstream ended.
 type Outcome int
