roster, gate: placement by expected time and usage by learned capacity

Cause: scores count announced slots, a report counts in full for a second and then as an idle upstream, the slowdown has a tolerance of 0.6, and another data centre costs the load of a quarter slot whatever its distance. Upstreams of uneven speed and those that slow under load are overloaded while others idle.

Change: for services whose upstreams report a pace (setting learned_capacity: auto, on, off), Pick samples five upstreams and takes the one with the least expected time; Usage counts learned limits and the estimated load. An upstream that does not answer costs at least the time waited, and one that claims to be idle while requests wait counts as loaded. The gateway learns from the times between events and of whole calls, the latter without the round trip to the data centre, which is measured when connections are opened. Event upstream_limit, metrics upstream_limit, _factor, _pace, _load. Off: scores and usage as before (TestOffIsAsBefore).

--- a/internal/plat/config/common.go
+++ b/internal/plat/config/common.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -111,3 +113,10 @@
 	}
 	return nil
 }
+
+func checkOneOf(field, v string, allowed ...string) []FieldError {
+	if !slices.Contains(allowed, v) {
+		return []FieldError{{Field: field, Problem: fmt.Sprintf("%q is not one of %s", v, strings.Join(allowed, ", "))}}
+	}
+	return nil
+}
--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -37,15 +37,27 @@
 	MaxConnections int64 `json:"max_connections"`
 	// StopMS bounds a graceful stop in milliseconds.
 	StopMS int64 `json:"stop_ms"`
+	// LearnedCapacity says for which services the load that each upstream handles well is learned from its times: "auto"
+	// for those whose upstreams report a pace, "on" for all, "off" for none. The default changes nothing for upstreams
+	// that report no pace.
+	LearnedCapacity string `json:"learned_capacity"`
 	// LogDebug enables log events of level debug.
 	LogDebug bool `json:"log_debug"`
 }
 
+// Values of learned_capacity.
+const (
+	LearnedCapacityAuto = "auto"
+	LearnedCapacityOn   = "on"
+	LearnedCapacityOff  = "off"
+)
+
 // DefaultGateway returns the default values of a gateway's settings.
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
 		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256, MaxConnections: 4000, StopMS: 8000,
+		LearnedCapacity: LearnedCapacityAuto,
 	}
 }
 
@@ -80,6 +92,8 @@
 	errs = append(errs, checkMin("memory_mb", g.MemoryMB, 32)...)
 	errs = append(errs, checkMin("max_connections", g.MaxConnections, 1)...)
 	errs = append(errs, checkMin("stop_ms", g.StopMS, 0)...)
+	errs = append(errs, checkOneOf("learned_capacity", g.LearnedCapacity,
+		LearnedCapacityAuto, LearnedCapacityOn, LearnedCapacityOff)...)
 	if g.ListenCallers == g.ListenPeers {
 		errs = append(errs, FieldError{
 			Field:   "listen_peers",
--- a/internal/plat/telem/latency.go
+++ b/internal/plat/telem/latency.go
@@ -72,6 +72,7 @@
 		var b strings.Builder
 		m.vars.Do(func(kv expvar.KeyValue) { fmt.Fprintf(&b, "%s %s\n", kv.Key, kv.Value) })
 		m.latencies.write(&b)
+		m.writers.write(&b)
 		_, _ = io.WriteString(w, b.String())
 	})
 }
--- a/internal/plat/telem/metrics.go
+++ b/internal/plat/telem/metrics.go
@@ -9,6 +9,7 @@
 type Metrics struct {
 	vars      *expvar.Map
 	latencies latencies
+	writers   writers
 }
 
 // NewMetrics returns an empty set of metrics.
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -78,6 +78,7 @@
 func (g *Gateway) pick(a *attempts, cached string, bonus float64) (roster.Upstream, bool) {
 	w := roster.Criteria{
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
+		Typical: g.typicalTime(a), Distances: *g.distances.Load(),
 	}
 	if parts := a.call.Turn.Parts; len(parts) > 1 {
 		w.SharedPrefix, w.SharedPrefixTokens = parts[0].ID, parts[0].Tokens
@@ -119,6 +120,7 @@
 	if !ok {
 		if a.mayHaveRun {
 			g.recordLatency(u, a.route.Name, time.Since(began), false)
+			g.learnCall(u, a.route.Name, time.Since(began), false)
 		}
 		return false, nil
 	}
@@ -136,6 +138,7 @@
 	if len(buffered) < maxBufferedAnswer {
 		g.recordAnswer(a.job, u, resp.Status)
 		g.recordLatency(u, a.route.Name, time.Since(began), true)
+		g.learnCall(u, a.route.Name, time.Since(began), true)
 		w.Head(resp.Status, h, int64(len(buffered)))
 		if err := w.Write(buffered); err != nil {
 			return true, g.callerGone(err)
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -19,6 +19,7 @@
 	"galenaward.example/galenaward/internal/plat/telem"
 	"galenaward.example/galenaward/internal/role/owner"
 	"galenaward.example/galenaward/internal/sched/admit"
+	"galenaward.example/galenaward/internal/sched/learn"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
 	"galenaward.example/galenaward/internal/state/store"
@@ -64,10 +65,14 @@
 	notices         *notifier
 	unowned         unownedPartitions
 	latencies       latencies
-	slowRetries     slowRetries
-	policy          admit.Policy
-	ready           serve.Readiness
-	shutdown        *serve.Shutdown
+	// workTimes are the typical times that capacity is learned from: like latencies, but without the network.
+	workTimes latencies
+	// distances are the round trips to data centres; never nil.
+	distances   atomic.Pointer[learn.Distances]
+	slowRetries slowRetries
+	policy      admit.Policy
+	ready       serve.Readiness
+	shutdown    *serve.Shutdown
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
@@ -93,13 +98,18 @@
 func Start(g *group.Group, s *config.Gateway, d Deps) (*Gateway, error) {
 	gt := &Gateway{
 		settings: s, codec: d.Codec, decoder: d.Decoder, logger: d.Log, metrics: d.Metrics, group: g,
-		roster: roster.New(), feedCache: newFeedCache(), streams: frame.NewStreams(),
+		roster: roster.New(roster.WithLearning(learningModes[s.LearnedCapacity])), feedCache: newFeedCache(), streams: frame.NewStreams(),
 		cacheEngines:    newMemo[string](maxCacheEngines),
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
 		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
 		shutdown: serve.NewShutdown(),
 	}
-	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(string) { d.Metrics.Add("upstream_connections", 1) }))
+	gt.distances.Store(new(learn.Distances))
+	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(address string, took time.Duration) {
+		d.Metrics.Add("upstream_connections", 1)
+		gt.recordConnect(address, took)
+	}))
+	d.Metrics.AddWriter(gt.writeLearned)
 	gt.peers = newPeerClient(s.PeerAddress())
 	fallback := newFallbackStore(d.Store, gt.peers, gt.peerAddresses, gt.logEvent)
 	gt.store = fallback
@@ -152,6 +162,7 @@
 			g.roster.ExpireMissing(now)
 			g.attributeCrashes()
 			g.sweepCrashes(now)
+			g.logLimits()
 		case <-poll.C:
 			if g.listed.Load() && g.layout.Load() != nil && g.owner.CanRoute() && !g.shutdown.Begun() && !g.ready.IsReady() {
 				g.ready.Set(true)
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -99,10 +99,14 @@
 		if !ok {
 			break
 		}
+		began := time.Now()
 		resp, ok := g.send(ctx, a, u, prompt, t.priority())
 		if ok {
 			again, f := t.stream(ctx, a, u, resp)
 			if !again {
+				if f == nil && t.scan.EventCount() >= minTimedEvents {
+					g.latencies.record(turnKind(q.Service), time.Since(began))
+				}
 				return f
 			}
 			g.metrics.Add("streams_resumed", 1)
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -75,7 +75,9 @@
 	if events < minTimedEvents {
 		return
 	}
-	t.gateway.recordLatency(u, t.Service, took/time.Duration(events-1), whole)
+	interval := took / time.Duration(events-1)
+	t.gateway.recordLatency(u, t.Service, interval, whole)
+	t.gateway.learnTime(u, "event/"+t.Service, interval, whole)
 }
 
 // head passes on the first engine's headers; engines that resume the stream contribute only their bodies.
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"galenaward.example/galenaward/internal/sched/learn"
 )
 
 // Upstream is an upstream's announcement.
@@ -114,6 +116,7 @@
 	accepting bool
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
+	learned      learnedState
 }
 
 // Table holds the upstreams. It is safe for concurrent use.
@@ -127,6 +130,12 @@
 	leaving map[Start]time.Time
 	// ended holds the upstreams that ended without notice since the last call of TakeEnded.
 	ended []Upstream
+	// learning says for which services the capacity of upstreams is learned, services holds what is common to the
+	// upstreams of one service.
+	learning Learning
+	services map[string]*serviceState
+	// limitChanges holds the changes since the last call of TakeLimitChanges.
+	limitChanges []LimitChange
 }
 
 // Start identifies one start of an upstream.
@@ -139,8 +148,15 @@
 func (u Upstream) Start() Start { return Start{u.Instance, u.Incarnation} }
 
 // New returns an empty table.
-func New() *Table {
-	return &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time)}
+func New(opts ...Option) *Table {
+	t := &Table{
+		upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time), learning: LearnAuto,
+		services: make(map[string]*serviceState),
+	}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
 }
 
 // MarkLeaving records an upstream's notice that it is leaving, which applies until that start of it ends. The upstream may
@@ -183,13 +199,14 @@
 			gone = s.Address
 			t.recordEnd(s)
 		}
-		s = &upstreamState{}
+		s = &upstreamState{learned: newLearnedState(u.Slots)}
 		t.upstreams[u.Instance] = s
 	}
 	_, leaving := t.leaving[u.Start()]
 	u.Draining = u.Draining || leaving
 	drains = u.Draining && !s.Draining
 	s.Upstream = u
+	s.learned.capacity = s.learned.capacity.WithSlots(u.Slots)
 	s.missingSince = time.Time{}
 	return gone, drains
 }
@@ -247,6 +264,10 @@
 	SharedPrefixTokens int64
 	// Exclude lists instances that were already tried.
 	Exclude []string
+	// Typical is the typical time of such a request, zero if unknown; Distances are the round trips to data centres.
+	// Both are used where the capacity of upstreams is learned.
+	Typical   time.Duration
+	Distances learn.Distances
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -262,12 +283,16 @@
 		return Upstream{}, false
 	}
 	best.inFlight++
+	best.learned.sent(c.Typical, now)
 	return best.Upstream, true
 }
 
 // best returns the upstream with the lowest score. Upstreams in backoff after an incomplete answer are considered
 // only if includeBroken is set.
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
+	if sv := t.service(c.Service, now); sv.learns {
+		return t.place(sv, c, now, includeBroken)
+	}
 	var best *upstreamState
 	var bestScore float64
 	for _, s := range t.upstreams {
@@ -330,6 +355,7 @@
 	defer t.mu.Unlock()
 	if s, ok := t.upstreams[instance]; ok {
 		s.otherRequests, s.loadReportedAt = max(0, l.Running+l.Waiting-s.inFlight), now
+		t.learnReport(s, l, now)
 	}
 }
 
@@ -343,6 +369,9 @@
 		return HealthChange{}, false
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if s.inFlight == 0 {
+		s.learned.heard()
+	}
 	s.accepting = o == Answered || o == Failed || o == Broken || (o == Abandoned && s.accepting)
 	switch o {
 	case Answered, Failed:
@@ -365,10 +394,14 @@
 	return c, changed
 }
 
-// Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them.
+// Usage returns the slots of a service's upstreams that take new requests, and the number of requests at them. Where the
+// capacity of upstreams is learned, it takes the place of the announced slots.
 func (t *Table) Usage(service string, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if sv := t.service(service, now); sv.learns {
+		return t.learnedUsage(service, sv, now)
+	}
 	for _, s := range t.upstreams {
 		if s.Service != service || s.Draining {
 			continue
--- a/internal/wire/httpc/pool.go
+++ b/internal/wire/httpc/pool.go
@@ -32,7 +32,7 @@
 // Pool keeps idle connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
-	onOpen func(address string)
+	onOpen func(address string, took time.Duration)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -40,7 +40,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
-	p := &Pool{idle: make(map[string][]*conn), onOpen: func(string) {}}
+	p := &Pool{idle: make(map[string][]*conn), onOpen: func(string, time.Duration) {}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -55,8 +55,10 @@
 // Option configures a pool.
 type Option func(*Pool)
 
-// WithOnOpen sets a callback for each new connection.
-func WithOnOpen(f func(address string)) Option { return func(p *Pool) { p.onOpen = f } }
+// WithOnOpen sets a callback for each new connection, with the time that it took to open.
+func WithOnOpen(f func(address string, took time.Duration)) Option {
+	return func(p *Pool) { p.onOpen = f }
+}
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -84,11 +86,12 @@
 		}
 		_ = c.Close()
 	}
+	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p.onOpen(address)
+	p.onOpen(address, time.Since(began))
 	c := newConn(nc)
 	c.carried = []uint64{hash}
 	return c, nil
