roster: the time without an answer counts for the route of the request

Cause: the time that a request had waited at an upstream was compared with the typical time of the request to be placed. A long call kept short calls away from its upstream.

Change: it is compared with the typical time of the request that waits, and counts half, since calls take up to 1.6 times their mean and 2.5 times that beside other workloads. Tests for this and for caches with learned capacity: of 600 calls 600 stay with their cache, 594 reach an engine that should cache their shared prefix.

--- a/internal/sched/roster/learned.go
+++ b/internal/sched/roster/learned.go
@@ -63,12 +63,13 @@
 // heard records that the upstream answered, or that no request to it is left.
 func (l *learnedState) heard() { l.unansweredSince = time.Time{} }
 
-// unanswered returns how long a request to the upstream has been without any answer from there.
-func (l *learnedState) unanswered(now time.Time) time.Duration {
-	if l.unansweredSince.IsZero() {
+// unanswered returns how long the oldest request has been without any answer from the upstream, as a multiple of the typical
+// time of that request; zero if unknown. Requests to one upstream may be of routes whose typical times differ much.
+func (l *learnedState) unanswered(now time.Time) float64 {
+	if l.unansweredSince.IsZero() || l.unansweredTypical <= 0 {
 		return 0
 	}
-	return now.Sub(l.unansweredSince)
+	return float64(now.Sub(l.unansweredSince)) / float64(l.unansweredTypical)
 }
 
 func newLearnedState(slots int) learnedState {
@@ -98,11 +99,7 @@
 // impliedLoad returns the number of requests at the upstream that explains how long the oldest request has waited; zero if
 // the wait is short. It bounds reports of an upstream that claims to be idle while requests queue there.
 func (l *learnedState) impliedLoad(m learn.Means, now time.Time) float64 {
-	if l.unansweredTypical <= 0 {
-		return 0
-	}
-	one := float64(l.unansweredTypical) * l.capacity.Factor(m, now) * l.capacity.Pace(m, now)
-	times := float64(l.unanswered(now)) / one
+	times := l.unanswered(now) / (l.capacity.Factor(m, now) * l.capacity.Pace(m, now))
 	if times < impliedLoadAbove {
 		return 0
 	}
--- a/internal/sched/roster/learned_test.go
+++ b/internal/sched/roster/learned_test.go
@@ -153,6 +153,54 @@
 	is.Equal(u.Instance, "x")
 }
 
+// TestSilenceCountsForItsRoute guards against an upstream that short calls avoid because a long call runs there.
+func TestSilenceCountsForItsRoute(t *testing.T) {
+	is := is.New(t)
+	tb := New(WithLearning(LearnAll))
+	for _, id := range []string{"x", "y"} {
+		tb.Update(testUpstream(id))
+	}
+	long := Criteria{Service: "s", DataCentre: "a", Typical: 10 * time.Second, Exclude: []string{"y"}}
+	_, ok := tb.Pick(long, now)
+	is.True(ok)
+	at := now.Add(5 * time.Second)
+	tb.RecordLoad("y", Load{Running: 10, Slots: 10, Pace: 100}, at)
+	u, _ := tb.Pick(Criteria{Service: "s", DataCentre: "a", Typical: 50 * time.Millisecond}, at)
+	is.Equal(u.Instance, "x")
+}
+
+// TestCachesCountWithLearning guards against programs that leave the engine with their cache, and against shared prefixes that
+// are cached on all engines.
+func TestCachesCountWithLearning(t *testing.T) {
+	is := is.New(t)
+	tb := New(WithLearning(LearnAll))
+	const engines, calls = 18, 600
+	for i := range engines {
+		tb.Update(testUpstream(fmt.Sprint("e", i)))
+	}
+	kept, onPrefix := 0, 0
+	for range calls {
+		c := Criteria{Service: "s", DataCentre: "a", Typical: 200 * time.Millisecond, CachedOn: "e2", CacheBonus: 0.35}
+		u, _ := tb.Pick(c, now)
+		tb.Done(u.Instance, Answered, now)
+		if u.Instance == "e2" {
+			kept++
+		}
+		c = Criteria{Service: "s", DataCentre: "a", Typical: 200 * time.Millisecond, SharedPrefix: "p", SharedPrefixTokens: 12_600}
+		u, _ = tb.Pick(c, now)
+		tb.Done(u.Instance, Answered, now)
+		if tb.upstreams[u.Instance].cachesPrefix("p") {
+			onPrefix++
+		}
+	}
+	t.Logf("of %d calls %d stay with their cache, %d reach an engine that should cache the shared prefix", calls, kept, onPrefix)
+	is.Equal(kept, calls)
+	is.True(float64(onPrefix) > 0.9*calls)
+	tb.RecordLoad("e2", Load{Running: 10, Waiting: 3, Slots: 10, Pace: 100}, now)
+	u, _ := tb.Pick(Criteria{Service: "s", DataCentre: "a", CachedOn: "e2", CacheBonus: 0.35}, now)
+	is.True(u.Instance != "e2")
+}
+
 // BenchmarkPick measures the choice among the upstreams of the largest planned service.
 func BenchmarkPick(b *testing.B) {
 	for _, l := range []Learning{LearnNone, LearnAll} {
--- a/internal/sched/roster/place.go
+++ b/internal/sched/roster/place.go
@@ -12,6 +12,9 @@
 	samples = 5
 	// sampleBias is how strongly the distance and the caches of an upstream count in the choice of the samples.
 	sampleBias = 4.0
+	// silenceTolerance divides the time without an answer, in typical times: calls take up to 1.6 times their mean, and
+	// longer on a machine with other workloads.
+	silenceTolerance = 2.0
 )
 
 // place returns the upstream with the least expected time among a few that are sampled at random, near ones more often. All
@@ -62,10 +65,8 @@
 // penalties. Lower is better.
 func (s *upstreamState) cost(sv *serviceState, c Criteria, now time.Time) float64 {
 	cost := s.learned.capacity.Delay(s.inFlight, sv.means, now)
-	if c.Typical > 0 {
-		// An upstream that stopped answering takes at least as long as it already has.
-		cost = max(cost, float64(s.learned.unanswered(now))/float64(c.Typical))
-	}
+	// An upstream that stopped answering is expected to take as long again as it already has.
+	cost = max(cost, s.learned.unanswered(now)/silenceTolerance)
 	cost += s.penalty(now) + s.offset(c)
 	if s.Instance == c.CachedOn {
 		cost -= c.CacheBonus
