--- a/internal/sched/roster/learned.go
+++ b/internal/sched/roster/learned.go
@@ -24,7 +24,7 @@
 type Option func(*Table)
 
 // WithLearning sets for which services the capacity of upstreams is learned; LearnAuto if it is not set.
-func WithLearning(l Learning) Option { return func(t *Table) { t.learning = l } }
+func WithLearning(l Learning) Option { return func(t *Table) { t.learning.mode = l } }
 
 const (
 	// refreshInterval is how long the means of a service are used. They change within seconds, and to compute them takes a
@@ -106,14 +106,25 @@
 	return min(times, maxImpliedLoad) * float64(l.capacity.Limit())
 }
 
+// learningState is what is learned of the upstreams together.
+type learningState struct {
+	// mode says for which services the capacity of upstreams is learned.
+	mode     Learning
+	services map[string]*serviceState
+	// limitChanges holds the changes since the last call of TakeLimitChanges; at most maxLimitChanges.
+	limitChanges []LimitChange
+}
+
+func newLearningState() learningState { return learningState{services: make(map[string]*serviceState)} }
+
 // service returns the state of the service, refreshed where needed. The caller holds the lock.
 func (t *Table) service(name string, now time.Time) *serviceState {
-	sv, ok := t.services[name]
+	sv, ok := t.learning.services[name]
 	if !ok {
-		sv = &serviceState{means: learn.NoMeans(), learns: t.learning == LearnAll}
-		t.services[name] = sv
+		sv = &serviceState{means: learn.NoMeans(), learns: t.learning.mode == LearnAll}
+		t.learning.services[name] = sv
 	}
-	if t.learning != LearnNone && now.Sub(sv.refreshedAt) >= refreshInterval {
+	if t.learning.mode != LearnNone && now.Sub(sv.refreshedAt) >= refreshInterval {
 		t.refresh(name, sv, now)
 	}
 	return sv
@@ -122,7 +133,7 @@
 // refresh computes the means of the service, and forgets what was learned of its upstreams long ago.
 func (t *Table) refresh(name string, sv *serviceState, now time.Time) {
 	sv.refreshedAt = now
-	sv.learns = t.learning == LearnAll
+	sv.learns = t.learning.mode == LearnAll
 	var sum learn.Means
 	n := 0.0
 	for _, s := range t.upstreams {
@@ -158,8 +169,8 @@
 		return
 	}
 	s.learned.reportedLimit = c.Limit()
-	if len(t.limitChanges) < maxLimitChanges {
-		t.limitChanges = append(t.limitChanges, LimitChange{
+	if len(t.learning.limitChanges) < maxLimitChanges {
+		t.learning.limitChanges = append(t.learning.limitChanges, LimitChange{
 			Upstream: s.Upstream, Before: before, Now: c.Limit(), Reason: c.Reason(), Factor: c.Factor(sv.means, now),
 			Pace: c.Pace(sv.means, now), ReportAge: c.ReportAge(now),
 		})
@@ -170,14 +181,14 @@
 func (t *Table) TakeLimitChanges() []LimitChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.limitChanges
-	t.limitChanges = nil
+	out := t.learning.limitChanges
+	t.learning.limitChanges = nil
 	return out
 }
 
 // learnReport learns from a load report. The caller holds the lock.
 func (t *Table) learnReport(s *upstreamState, l Load, now time.Time) {
-	if t.learning == LearnNone {
+	if t.learning.mode == LearnNone {
 		return
 	}
 	sv := t.service(s.Service, now)
@@ -197,7 +208,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[instance]
-	if !ok || t.learning == LearnNone {
+	if !ok || t.learning.mode == LearnNone {
 		return
 	}
 	sv := t.service(s.Service, now)
@@ -211,16 +222,12 @@
 	}
 }
 
-// learnedUsage returns the requests that a service's upstreams handle well, and the estimated number at them. The caller
-// holds the lock.
-func (t *Table) learnedUsage(service string, sv *serviceState, now time.Time) (limit int, held float64) {
-	for _, s := range t.upstreams {
-		if s.Service == service && !s.Draining {
-			limit += s.learned.capacity.Limit()
-			held += float64(s.inFlight) + s.learned.capacity.Others(sv.means, now)
-		}
+// usage returns the requests that the upstream runs or, if that is learned, handles well, and the number at it.
+func (s *upstreamState) usage(sv *serviceState, now time.Time) (slots int, held float64) {
+	if !sv.learns {
+		return s.Slots, s.load(now) * float64(s.Slots)
 	}
-	return limit, held
+	return s.learned.capacity.Limit(), float64(s.inFlight) + s.learned.capacity.Others(sv.means, now)
 }
 
 // LearnedUpstream is a snapshot of what was learned of one upstream.
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -31,13 +31,6 @@
 	Draining bool
 }
 
-// Load is the load report that an upstream sends with an answer.
-type Load struct {
-	Running, Waiting, Slots int
-	// Pace is the time that work currently takes on the machine, in percent of the usual time; 0 if not reported.
-	Pace int
-}
-
 // Outcome says how an exchange with an upstream ended.
 type Outcome int
 
@@ -129,13 +122,8 @@
 	// which may be older than the notice.
 	leaving map[Start]time.Time
 	// ended holds the upstreams that ended without notice since the last call of TakeEnded.
-	ended []Upstream
-	// learning says for which services the capacity of upstreams is learned, services holds what is common to the
-	// upstreams of one service.
-	learning Learning
-	services map[string]*serviceState
-	// limitChanges holds the changes since the last call of TakeLimitChanges.
-	limitChanges []LimitChange
+	ended    []Upstream
+	learning learningState
 }
 
 // Start identifies one start of an upstream.
@@ -149,10 +137,7 @@
 
 // New returns an empty table.
 func New(opts ...Option) *Table {
-	t := &Table{
-		upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time), learning: LearnAuto,
-		services: make(map[string]*serviceState),
-	}
+	t := &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time), learning: newLearningState()}
 	for _, o := range opts {
 		o(t)
 	}
@@ -349,16 +334,6 @@
 	return float64(n) / float64(max(1, s.Slots))
 }
 
-// RecordLoad records a load report that came with an answer.
-func (t *Table) RecordLoad(instance string, l Load, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.upstreams[instance]; ok {
-		s.otherRequests, s.loadReportedAt = max(0, l.Running+l.Waiting-s.inFlight), now
-		t.learnReport(s, l, now)
-	}
-}
-
 // Done ends an exchange that Pick began. It returns a change to report, if the upstream starts or stops counting as
 // failing.
 func (t *Table) Done(instance string, o Outcome, now time.Time) (c HealthChange, changed bool) {
@@ -399,15 +374,13 @@
 func (t *Table) Usage(service string, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sv := t.service(service, now); sv.learns {
-		return t.learnedUsage(service, sv, now)
-	}
+	sv := t.service(service, now)
 	for _, s := range t.upstreams {
 		if s.Service != service || s.Draining {
 			continue
 		}
-		slots += s.Slots
-		held += s.load(now) * float64(s.Slots)
+		n, requests := s.usage(sv, now)
+		slots, held = slots+n, held+requests
 	}
 	return slots, held
 }
