--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -344,7 +344,7 @@
 		return HealthChange{}, false
 	}
 	s.inFlight = max(0, s.inFlight-1)
-	if s.inFlight == 0 {
+	if s.inFlight == 0 || o == Answered || o == Failed {
 		s.learned.heard()
 	}
 	s.accepting = o == Answered || o == Failed || o == Broken || (o == Abandoned && s.accepting)
