--- a/internal/plat/config/gateway.go
+++ b/internal/plat/config/gateway.go
@@ -51,6 +51,10 @@
 	// Admission says how programs are admitted: "load" by a fixed load of the engines, "outcome" by how long turns wait at
 	// the engines, "auto" by the latter for turns that run at the gateway that received them.
 	Admission string `json:"admission"`
+	// LearnedCapacity says for which services the load that each upstream handles well is learned from its times: "auto"
+	// for those whose upstreams report a pace, "on" for all, "off" for none. The default changes nothing for upstreams
+	// that report no pace.
+	LearnedCapacity string `json:"learned_capacity"`
 	// LogDebug enables log events of level debug.
 	LogDebug bool `json:"log_debug"`
 }
@@ -60,7 +64,7 @@
 	return &Gateway{
 		ListenCallers: "127.0.0.1:8080", ListenReady: "127.0.0.1:8081", ListenPeers: "127.0.0.1:8082",
 		Partitions: 12, RecordBytes: 256 << 10, AppendBytes: 2 << 20, MemoryMB: 256,
-		CallerLimits: defaultCallerLimits(), StopMS: 8000, LocalTurns: Auto, Admission: Auto,
+		CallerLimits: defaultCallerLimits(), StopMS: 8000, LocalTurns: Auto, Admission: Auto, LearnedCapacity: Auto,
 	}
 }
 
@@ -114,6 +118,7 @@
 	errs = append(errs, checkMin("stop_ms", g.StopMS, 0)...)
 	errs = append(errs, checkOneOf("local_turns", g.LocalTurns, Auto, On, Off)...)
 	errs = append(errs, checkOneOf("admission", g.Admission, Auto, AdmitByLoad, AdmitByOutcome)...)
+	errs = append(errs, checkOneOf("learned_capacity", g.LearnedCapacity, Auto, On, Off)...)
 	if g.ListenCallers == g.ListenPeers {
 		errs = append(errs, FieldError{
 			Field:   "listen_peers",
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -88,7 +88,7 @@
 	w := roster.Criteria{
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
 		StayLocal: a.local, SparseReports: a.local,
-		Allows: g.dataCentreFilter(a.regions),
+		Allows: g.dataCentreFilter(a.regions), Typical: g.typicalTime(a), Distances: *g.distances.Load(),
 	}
 	if a.route.Sticky {
 		w.Affinity = a.call.Affinity
@@ -133,6 +133,7 @@
 	if !ok {
 		if a.mayHaveRun {
 			g.recordLatency(u, a.route.Name, time.Since(began), false)
+			g.learnCall(u, a.route.Name, time.Since(began), false)
 		}
 		return false, nil
 	}
@@ -150,6 +151,7 @@
 	if len(buffered) < maxBufferedAnswer {
 		g.recordAnswer(a.job, u, resp.Status)
 		g.recordLatency(u, a.route.Name, time.Since(began), true)
+		g.learnCall(u, a.route.Name, time.Since(began), true)
 		w.Head(resp.Status, h, int64(len(buffered)))
 		if err := w.Write(buffered); err != nil {
 			return true, g.callerGone(err)
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -116,6 +116,9 @@
 			t.recordFirstEvent(time.Since(sent))
 			again, f := t.stream(ctx, a, u, resp)
 			if !again {
+				if f == nil && t.scan.EventCount() >= minTimedEvents {
+					g.latencies.record(turnKind(q.Service), time.Since(sent))
+				}
 				return f
 			}
 			g.metrics.Add("streams_resumed", 1)
--- a/internal/sched/roster/affinity_test.go
+++ b/internal/sched/roster/affinity_test.go
@@ -15,7 +15,7 @@
 type affinityLoad struct {
 	rng       *rand.Rand
 	tables    []*Table
-	upstreams []*modelUpstream
+	upstreams []*affinityUpstream
 	// hot is the share of the calls that concern object 0; the others concern any of objects alike.
 	hot float64
 	// sticky sets the affinity of the calls.
@@ -25,7 +25,7 @@
 	hits  int
 }
 
-type modelUpstream struct {
+type affinityUpstream struct {
 	id      string
 	recent  []int
 	running []modelCall
@@ -50,7 +50,7 @@
 	for i := range upstreams {
 		u := testUpstream(fmt.Sprint("w", i))
 		u.DataCentre, u.Slots = string(rune('a'+i%4)), modelSlots
-		l.upstreams = append(l.upstreams, &modelUpstream{id: u.Instance})
+		l.upstreams = append(l.upstreams, &affinityUpstream{id: u.Instance})
 		for _, tb := range l.tables {
 			tb.Update(u)
 		}
@@ -97,7 +97,7 @@
 	if !ok {
 		return
 	}
-	u := l.upstreams[slices.IndexFunc(l.upstreams, func(u *modelUpstream) bool { return u.id == picked.Instance })]
+	u := l.upstreams[slices.IndexFunc(l.upstreams, func(u *affinityUpstream) bool { return u.id == picked.Instance })]
 	took, hit := missTime, false
 	if slices.Contains(u.recent, object) {
 		hit = true
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"galenaward.example/galenaward/internal/sched/learn"
 )
 
 // Upstream is an upstream's announcement.
@@ -33,9 +35,6 @@
 	HeardAt time.Time
 }
 
-// Load is the load report that an upstream sends with an answer.
-type Load struct{ Running, Waiting, Slots int }
-
 // Outcome says how an exchange with an upstream ended.
 type Outcome int
 
@@ -122,6 +121,7 @@
 	missingSince time.Time
 	// instanceHash is used by affinityHash only.
 	instanceHash uint64
+	learned      learnedState
 }
 
 // Table holds the upstreams. It is safe for concurrent use.
@@ -140,6 +140,7 @@
 	// evacuations is the set of data centres whose upstreams get no new requests.
 	evacuations    Evacuations
 	affinityCounts AffinityCounts
+	learning       learningState
 }
 
 // Start identifies one start of an upstream.
@@ -152,8 +153,12 @@
 func (u Upstream) Start() Start { return Start{u.Instance, u.Incarnation} }
 
 // New returns an empty table.
-func New() *Table {
-	return &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time)}
+func New(opts ...Option) *Table {
+	t := &Table{upstreams: make(map[string]*upstreamState), leaving: make(map[Start]time.Time), learning: newLearningState()}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
 }
 
 // TakeEnded returns the upstreams that ended without notice since the last call.
@@ -186,7 +191,7 @@
 			gone = s.Address
 			t.recordEnd(s)
 		}
-		s = &upstreamState{}
+		s = &upstreamState{learned: newLearnedState(u.Slots)}
 		if !repeated {
 			s.cold.warmSince = u.HeardAt // It has just started.
 		}
@@ -197,6 +202,7 @@
 	drains = u.Draining && !s.Draining
 	s.Upstream = u
 	t.setCold(s, s.cold.withAnnouncement(u.ColdFor, u.HeardAt, repeated))
+	s.learned.capacity = s.learned.capacity.WithSlots(u.Slots)
 	s.missingSince = time.Time{}
 	return gone, drains
 }
@@ -268,6 +274,10 @@
 	// LimitCold says that cold upstreams need a permit, Permitted lists the instances for which there is one.
 	LimitCold bool
 	Permitted []string
+	// Typical is the typical time of such a request, zero if unknown; Distances are the round trips to data centres.
+	// Both are used where the capacity of upstreams is learned.
+	Typical   time.Duration
+	Distances learn.Distances
 }
 
 // Pick picks an upstream and counts the exchange as in progress; the caller must call Done afterwards. It returns
@@ -289,12 +299,16 @@
 		return Upstream{}, false
 	}
 	best.inFlight++
+	best.learned.sent(c.Typical, now)
 	return best.Upstream, true
 }
 
 // best returns the upstream with the lowest score. Upstreams in backoff after an incomplete answer are considered
 // only if includeBroken is set.
 func (t *Table) best(c Criteria, now time.Time, includeBroken bool) *upstreamState {
+	if sv := t.service(c.Service, now); sv.learns {
+		return t.place(sv, c, now, includeBroken)
+	}
 	var best *upstreamState
 	var bestScore float64
 	assumed := t.assumedLoad(c, now)
@@ -399,15 +413,6 @@
 	return float64(held) / float64(max(1, slots))
 }
 
-// RecordLoad records a load report that came with an answer.
-func (t *Table) RecordLoad(instance string, l Load, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.upstreams[instance]; ok {
-		s.otherRequests, s.loadReportedAt = max(0, l.Running+l.Waiting-s.inFlight), now
-	}
-}
-
 // Done ends an exchange that Pick began. It returns a change to report, if the upstream starts or stops counting as
 // failing.
 func (t *Table) Done(instance string, o Outcome, now time.Time) (c HealthChange, changed bool) {
@@ -418,6 +423,9 @@
 		return HealthChange{}, false
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if s.inFlight == 0 || o == Answered || o == Failed {
+		s.learned.heard()
+	}
 	s.accepting = o == Answered || o == Failed || o == Broken || (o == Abandoned && s.accepting)
 	switch o {
 	case Answered, Failed:
@@ -449,20 +457,19 @@
 	SparseReports bool
 }
 
-// Usage returns the slots of those upstreams of a service that take new requests, and the number of requests at them.
+// Usage returns the slots of those upstreams of a service that take new requests, and the number of requests at them. Where
+// the capacity of upstreams is learned, it takes the place of the announced slots.
 func (t *Table) Usage(q UsageQuery, now time.Time) (slots int, held float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	assumed := 0.0
-	if q.SparseReports {
-		assumed = t.reportedLoad(q.Service, now)
-	}
+	assumed := t.assumedLoad(Criteria{Service: q.Service, SparseReports: q.SparseReports}, now)
+	sv := t.service(q.Service, now)
 	for _, s := range t.upstreams {
 		if s.Service != q.Service || s.Draining || !t.open(s.DataCentre, q.Allows) {
 			continue
 		}
-		slots += s.Slots
-		held += s.load(assumed, now) * float64(s.Slots)
+		n, requests := s.usage(sv, assumed, now)
+		slots, held = slots+n, held+requests
 	}
 	return slots, held
 }
