--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -4,14 +4,10 @@
 
 import (
 	"maps"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"galenaward.example/galenaward/internal/sched/learn"
 )
 
@@ -337,82 +333,6 @@
 	return !now.Before(s.backoffUntil) || (includeBroken && s.accepting)
 }
 
-// score returns the expected time, of the request itself and of those ahead of it, in units of an idle upstream's time,
-// with advantages and penalties as load in requests per slot. Lower is better.
-func (s *upstreamState) score(c Criteria, load float64, now time.Time) float64 {
-	score := (1+load)*s.slowdown.factor(now) - 1 + scoreJitter*rand.Float64()
-	score += s.penalty(now)
-	if c.LimitCold {
-		score += s.cold.penalty(now)
-	}
-	if s.DataCentre != c.DataCentre {
-		score += c.remotePenalty()
-	}
-	if s.Instance == c.CachedOn {
-		score -= s.cacheBonus(c)
-	}
-	if c.SharedPrefix != "" && s.cachesPrefix(c.SharedPrefix) {
-		score -= min(maxPrefixBonus, prefixBonusPerToken*float64(c.SharedPrefixTokens))
-	}
-	return score
-}
-
-// remotePenalty returns how much lower the load of an upstream in another data centre must be.
-func (c Criteria) remotePenalty() float64 {
-	if c.StayLocal {
-		return localTurnRemotePenalty
-	}
-	return remotePenalty
-}
-
-// cacheBonus returns the advantage of the upstream that holds the program's cache.
-func (s *upstreamState) cacheBonus(c Criteria) float64 {
-	if c.StayLocal && s.DataCentre != c.DataCentre {
-		return min(c.CacheBonus, maxRemoteCacheBonus)
-	}
-	return c.CacheBonus
-}
-
-// cachesPrefix reports whether the engine is one of those that should cache the shared prompt prefix. All processes
-// compute the same result without coordination.
-func (s *upstreamState) cachesPrefix(prefix string) bool {
-	return float64(xxhash.Sum64String(prefix+"\x00"+s.Instance)) < prefixEngineFraction*math.MaxUint64
-}
-
-// load returns the requests per slot. Without a report, other processes' requests count as assumed.
-func (s *upstreamState) load(assumed float64, now time.Time) float64 {
-	slots := float64(max(1, s.Slots))
-	if s.reported(now) {
-		return float64(s.inFlight+s.otherRequests) / slots
-	}
-	return float64(s.inFlight)/slots + assumed
-}
-
-// assumedLoad returns the load of upstreams without a report. The caller holds the lock.
-func (t *Table) assumedLoad(c Criteria, now time.Time) float64 {
-	if !c.SparseReports {
-		return 0
-	}
-	return t.reportedLoad(c.Service, now)
-}
-
-// reported reports whether there is a load report that is recent enough.
-func (s *upstreamState) reported(now time.Time) bool {
-	return now.Sub(s.loadReportedAt) < loadReportTTL
-}
-
-// reportedLoad returns the mean load, by slots, of the service's upstreams that reported theirs. The caller holds the lock.
-func (t *Table) reportedLoad(service string, now time.Time) float64 {
-	slots, held := 0, 0
-	for _, s := range t.upstreams {
-		if s.Service == service && !s.Draining && s.reported(now) {
-			slots += s.Slots
-			held += s.inFlight + s.otherRequests
-		}
-	}
-	return float64(held) / float64(max(1, slots))
-}
-
 // Done ends an exchange that Pick began. It returns a change to report, if the upstream starts or stops counting as
 // failing.
 func (t *Table) Done(instance string, o Outcome, now time.Time) (c HealthChange, changed bool) {
@@ -448,32 +368,6 @@
 	return c, changed
 }
 
-// UsageQuery selects upstreams and how their load is estimated.
-type UsageQuery struct {
-	Service string
-	// Allows reports whether upstreams in a data centre count; nil if all do.
-	Allows func(dataCentre string) bool
-	// SparseReports is used as in Criteria.
-	SparseReports bool
-}
-
-// Usage returns the slots of those upstreams of a service that take new requests, and the number of requests at them. Where
-// the capacity of upstreams is learned, it takes the place of the announced slots.
-func (t *Table) Usage(q UsageQuery, now time.Time) (slots int, held float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	assumed := t.assumedLoad(Criteria{Service: q.Service, SparseReports: q.SparseReports}, now)
-	sv := t.service(q.Service, now)
-	for _, s := range t.upstreams {
-		if s.Service != q.Service || s.Draining || !t.open(s.DataCentre, q.Allows) {
-			continue
-		}
-		n, requests := s.usage(sv, assumed, now)
-		slots, held = slots+n, held+requests
-	}
-	return slots, held
-}
-
 // Len returns the number of upstreams.
 func (t *Table) Len() int {
 	t.mu.Lock()
