gateway, entry: one time limit on writes, peers' budget follows a reload

A reload of memory_mb changed the budget of callers only. Change: the constants are gone, and the budget of peers follows.

--- a/internal/role/entry/middleware.go
+++ b/internal/role/entry/middleware.go
@@ -24,8 +24,6 @@
 
 const (
 	headerRequestID = "X-Request-Id"
-	// callerWriteTimeout is the deadline of one write to a caller that reads slowly.
-	callerWriteTimeout = 30 * time.Second
 	// retryOtherEntry is when a caller may send a refused request to another entry, which can serve it at once.
 	retryOtherEntry = 10 * time.Millisecond
 )
@@ -163,7 +161,6 @@
 
 // Write sends the bytes.
 func (f *flushWriter) Write(b []byte) (int, error) {
-	_ = f.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	n, err := f.w.Write(b)
 	if err != nil {
 		return n, err
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -68,6 +68,8 @@
 	policy          admit.Policy
 	ready           serve.Readiness
 	shutdown        *serve.Shutdown
+	// peerBudget bounds the memory of requests of other gateways.
+	peerBudget *serve.Budget
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
@@ -97,7 +99,8 @@
 		cacheEngines:    newMemo[string](maxCacheEngines),
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
 		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
-		shutdown: serve.NewShutdown(),
+		shutdown:   serve.NewShutdown(),
+		peerBudget: serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(string) { d.Metrics.Add("upstream_connections", 1) }))
 	gt.peers = newPeerClient(s.PeerAddress())
@@ -111,7 +114,7 @@
 		ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 		MaxConnections: s.PeerConnections(), MaxHeaderBytes: maxPeerHeadBytes, MaxHeaderLines: maxPeerHeadLines,
 		MaxLeadingBytes: int(s.MaxLeadingBytes),
-		Budget:          serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()), Metrics: d.Metrics, Log: d.Log,
+		Budget:          gt.peerBudget, Metrics: d.Metrics, Log: d.Log,
 	}); err != nil {
 		return nil, err
 	}
@@ -126,6 +129,9 @@
 	return gt, nil
 }
 
+// SetPeerMemory changes the bound on the memory of other gateways' requests.
+func (g *Gateway) SetPeerMemory(bytes int64) { g.peerBudget.SetTotal(bytes) }
+
 // logEvent logs an event and counts it in the metrics.
 func (g *Gateway) logEvent(event string, kv ...any) {
 	g.metrics.Add("event_"+event, 1)
