--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// programs returns the number of programs with an allowance.
+func (a *allowances) programs() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int64(len(a.m))
+}
+
 // release gives up the unused tokens of a program.
 func (a *allowances) release(ref turns.Ref) (partition int, returns []allow.Return) {
 	a.mu.Lock()
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -72,6 +72,7 @@
 	unowned         unownedPartitions
 	peerRegions     peerRegions
 	latencies       latencies
+<<<<<<< HEAD
 	// workTimes are the typical times that capacity is learned from: like latencies, but without the network.
 	workTimes latencies
 	// distances are the round trips to data centres; never nil.
@@ -80,6 +81,14 @@
 	policy      admit.Policy
 	ready       serve.Readiness
 	shutdown    *serve.Shutdown
+=======
+	slowRetries     slowRetries
+	policy          admit.Policy
+	ready           serve.Readiness
+	shutdown        *serve.Shutdown
+	// peerBudget bounds the memory of requests of other gateways.
+	peerBudget *serve.Budget
+>>>>>>> limits
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
@@ -110,7 +119,8 @@
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
 		allowances:      newAllowances(),
 		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
-		shutdown: serve.NewShutdown(),
+		shutdown:   serve.NewShutdown(),
+		peerBudget: serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()),
 	}
 	gt.distances.Store(new(learn.Distances))
 	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(address string, took time.Duration) {
@@ -126,6 +136,8 @@
 		owner.WithEventLog(gt.logEvent), owner.WithIsolationCheck(fallback.Isolated))
 	gt.rates = newRates(gt)
 	gt.registerEvacuationGauges()
+	d.Metrics.Gauge("allowances", gt.allowances.programs)
+	d.Metrics.Gauge("grants_open", gt.openGrants)
 	gt.registerAffinityGauges()
 	gt.permits = newPermits(gt)
 	d.Metrics.Gauge("cold_upstreams", gt.coldUpstreams)
@@ -133,7 +145,7 @@
 		ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 		MaxConnections: s.PeerConnections(), MaxHeaderBytes: maxPeerHeadBytes, MaxHeaderLines: maxPeerHeadLines,
 		MaxLeadingBytes: int(s.MaxLeadingBytes),
-		Budget:          serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()), Metrics: d.Metrics, Log: d.Log,
+		Budget:          gt.peerBudget, Metrics: d.Metrics, Log: d.Log,
 	}); err != nil {
 		return nil, err
 	}
@@ -149,6 +161,9 @@
 	return gt, nil
 }
 
+// SetPeerMemory changes the bound on the memory of other gateways' requests.
+func (g *Gateway) SetPeerMemory(bytes int64) { g.peerBudget.SetTotal(bytes) }
+
 // logEvent logs an event and counts it in the metrics.
 func (g *Gateway) logEvent(event string, kv ...any) {
 	g.metrics.Add("event_"+event, 1)
--- a/internal/role/gate/grants.go
+++ b/internal/role/gate/grants.go
@@ -188,6 +188,15 @@
 	return nil
 }
 
+// openGrants returns the number of open grants of the partitions that this process holds.
+func (g *Gateway) openGrants() int64 {
+	n := 0
+	for _, p := range g.owner.HeldPartitions() {
+		n += p.OpenGrants()
+	}
+	return int64(n)
+}
+
 // registerGrantHandlers adds the peer API of grants.
 func (g *Gateway) registerGrantHandlers(mux *http.ServeMux) {
 	mux.Handle("POST "+grantsPath, jsonHandler(g, g.grantBudget))
--- a/internal/role/owner/grant.go
+++ b/internal/role/owner/grant.go
@@ -67,8 +67,8 @@
 	return p.ledger.GrantHolders(program)
 }
 
-// OpenGrants returns the number of open grants and their tokens.
-func (p *Partition) OpenGrants() (grants int, tokens int64) {
+// OpenGrants returns the number of open grants.
+func (p *Partition) OpenGrants() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.ledger.OpenGrants()
--- a/internal/state/turns/grant.go
+++ b/internal/state/turns/grant.go
@@ -89,10 +89,5 @@
 	return p.Spent+p.Reserved > 0
 }
 
-// OpenGrants returns the number of open grants and their tokens.
-func (l *Ledger) OpenGrants() (grants int, tokens int64) {
-	for _, g := range l.grants {
-		tokens += g.Tokens
-	}
-	return len(l.grants), tokens
-}
+// OpenGrants returns the number of open grants.
+func (l *Ledger) OpenGrants() int { return len(l.grants) }
