--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -72,7 +72,6 @@
 	unowned         unownedPartitions
 	peerRegions     peerRegions
 	latencies       latencies
-<<<<<<< HEAD
 	// workTimes are the typical times that capacity is learned from: like latencies, but without the network.
 	workTimes latencies
 	// distances are the round trips to data centres; never nil.
@@ -81,14 +80,8 @@
 	policy      admit.Policy
 	ready       serve.Readiness
 	shutdown    *serve.Shutdown
-=======
-	slowRetries     slowRetries
-	policy          admit.Policy
-	ready           serve.Readiness
-	shutdown        *serve.Shutdown
 	// peerBudget bounds the memory of requests of other gateways.
 	peerBudget *serve.Budget
->>>>>>> limits
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
