--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -88,7 +88,7 @@
 	w := roster.Criteria{
 		Service: a.service, DataCentre: g.settings.DataCentre, CachedOn: cached, CacheBonus: bonus, Exclude: a.excluded,
 		StayLocal: a.local, SparseReports: a.local,
-		Allows: g.dataCentreFilter(a.regions), Typical: g.typicalTime(a), Distances: *g.distances.Load(),
+		Allows: g.dataCentreFilter(a.regions), Typical: g.typicalTime(a), Distances: g.knownDistances(),
 	}
 	if a.route.Sticky {
 		w.Affinity = a.call.Affinity
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -74,7 +74,7 @@
 	latencies       latencies
 	// workTimes are the typical times that capacity is learned from: like latencies, but without the network.
 	workTimes latencies
-	// distances are the round trips to data centres; never nil.
+	// distances are the round trips to data centres; nil before the first is known.
 	distances   atomic.Pointer[learn.Distances]
 	slowRetries slowRetries
 	policy      admit.Policy
@@ -115,7 +115,6 @@
 		shutdown:   serve.NewShutdown(),
 		peerBudget: serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()),
 	}
-	gt.distances.Store(new(learn.Distances))
 	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(address string, took time.Duration) {
 		d.Metrics.Add("upstream_connections", 1)
 		gt.recordConnect(address, took)
--- a/internal/role/gate/learn.go
+++ b/internal/role/gate/learn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenaward.example/galenaward/internal/plat/config"
+	"galenaward.example/galenaward/internal/sched/learn"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
 )
@@ -34,7 +35,7 @@
 
 // learnCall is learnTime for a call that is answered at once.
 func (g *Gateway) learnCall(u roster.Upstream, route string, took time.Duration, ended bool) {
-	took -= g.distances.Load().RoundTrip(g.settings.DataCentre, u.DataCentre)
+	took -= g.knownDistances().RoundTrip(g.settings.DataCentre, u.DataCentre)
 	g.learnTime(u, route, max(0, took), ended)
 }
 
@@ -49,6 +50,14 @@
 	return g.latencies.typical(a.route.Name)
 }
 
+// knownDistances returns the distances to data centres that are known so far.
+func (g *Gateway) knownDistances() learn.Distances {
+	if d := g.distances.Load(); d != nil {
+		return *d
+	}
+	return learn.Distances{}
+}
+
 // recordConnect learns the distance to the upstream's data centre from the time to open a connection.
 func (g *Gateway) recordConnect(address string, took time.Duration) {
 	dc, ok := g.roster.DataCentreAt(address)
@@ -57,7 +66,7 @@
 	}
 	for {
 		cur := g.distances.Load()
-		next := cur.WithConnect(dc, took)
+		next := g.knownDistances().WithConnect(dc, took)
 		if g.distances.CompareAndSwap(cur, &next) {
 			return
 		}
--- a/internal/role/gate/learn_test.go
+++ b/internal/role/gate/learn_test.go
@@ -10,7 +10,6 @@
 
 	"galenaward.example/galenaward/internal/plat/config"
 	"galenaward.example/galenaward/internal/plat/telem"
-	"galenaward.example/galenaward/internal/sched/learn"
 	"galenaward.example/galenaward/internal/sched/roster"
 )
 
@@ -21,7 +20,6 @@
 		settings: s, roster: roster.New(roster.WithLearning(learningModes[s.LearnedCapacity])), logger: log.NewNopLogger(),
 		metrics: telem.NewMetrics(),
 	}
-	g.distances.Store(new(learn.Distances))
 	u := roster.Upstream{Instance: "x", Incarnation: 1, Address: "x:1", Service: "s", DataCentre: "b", Slots: 6}
 	g.roster.Update(u)
 	return g, u
