--- a/internal/role/sidec/sidecar.go
+++ b/internal/role/sidec/sidecar.go
@@ -36,7 +36,7 @@
 	idleTimeout          = time.Minute
 	// headTimeout bounds the time to send a head, writeTimeout that to take the next part of a response.
 	headTimeout  = 10 * time.Second
-	writeTimeout = 30 * time.Second
+	writeTimeout = 10 * time.Second
 	// maxHeaderBytes and maxLeadingBytes bound a head and the empty lines before it.
 	maxHeaderBytes  = 32 << 10
 	maxLeadingBytes = 64
