--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/state/allow"
 	"galenaward.example/galenaward/internal/state/turns"
@@ -126,12 +128,13 @@
 	return p.partition, returns
 }
 
-// releaseIdle gives up the unused tokens of programs that ran no turn since the given time, by partition.
-func (a *allowances) releaseIdle(since time.Time) map[int][]allow.Return {
+// releaseIdle gives up the unused tokens of programs that ran no turn since the given time, by partition. Partitions that
+// are not wanted are left out.
+func (a *allowances) releaseIdle(since time.Time, wanted func(partition int) bool) map[int][]allow.Return {
 	a.mu.Lock()
 	var idle []turns.Ref
 	for ref, p := range a.m {
-		if p.lastUsed.Before(since) && !p.value.Running() && p.asking == nil {
+		if p.lastUsed.Before(since) && !p.value.Running() && p.asking == nil && wanted(p.partition) {
 			idle = append(idle, ref)
 		}
 	}
@@ -148,11 +151,26 @@
 // returnIdle returns the tokens of programs that ran no turn since the given time to their homes. Tokens whose return
 // does not arrive count as spent.
 func (g *Gateway) returnIdle(since time.Time) {
-	for partition, returns := range g.allowances.releaseIdle(since) {
+	for partition, returns := range g.allowances.releaseIdle(since, anyPartition) {
 		g.sendReturnsAsync(partition, returns)
 	}
 }
 
+func anyPartition(int) bool { return true }
+
+// returnAll returns the unused tokens of programs of the wanted partitions, and waits until the homes have answered or ctx
+// ends. It must be used when the process stops: a return in the background would end with the process.
+func (g *Gateway) returnAll(ctx context.Context, wanted func(partition int) bool) {
+	var eg errgroup.Group
+	for partition, returns := range g.allowances.releaseIdle(time.Now(), wanted) {
+		eg.Go(func() error {
+			g.reportReturns(ctx, partition, returns)
+			return nil
+		})
+	}
+	_ = eg.Wait() // reportReturns logs its errors.
+}
+
 // returnAsync returns the unused tokens of a program to its home.
 func (g *Gateway) returnAsync(program turns.Ref) {
 	if partition, returns := g.allowances.release(program); len(returns) > 0 {
@@ -162,15 +180,20 @@
 
 func (g *Gateway) sendReturnsAsync(partition int, returns []allow.Return) {
 	g.group.Go(func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-		defer cancel()
-		if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
-			g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
-		}
+		g.reportReturns(ctx, partition, returns)
 		return nil
 	})
 }
 
+// reportReturns sends the returns and logs if they do not arrive.
+func (g *Gateway) reportReturns(ctx context.Context, partition int, returns []allow.Return) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
+		g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
+	}
+}
+
 func (g *Gateway) sendReturns(ctx context.Context, q returnRequest) error {
 	address, self, known := g.owner.AddressOf(q.Partition)
 	if !known {
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -39,8 +39,9 @@
 // await returns at once: what a home grants is durable.
 func (*localBudget) await(context.Context) error { return nil }
 
-// end also asks for what the program lacks for its next turn, so that the turn does not wait for it. If the program has
-// not started, it returns the tokens: while they are reserved, the home would tell other gateways that it has.
+// end also asks for what the program lacks for its next turn, so that the turn does not wait for it; not while the process
+// stops, since it would only have to return them. If the program has not started, it returns the tokens: while they are
+// reserved, the home would tell other gateways that it has.
 func (b *localBudget) end(tokens int64) {
 	program := b.turn.program()
 	b.gateway.allowances.end(program, b.tokens, tokens, b.started)
@@ -50,6 +51,9 @@
 		}
 		return
 	}
+	if b.gateway.shutdown.Begun() {
+		return
+	}
 	if missing := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
 		b.gateway.renewAsync(b.turn, missing)
 	}
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -30,15 +30,21 @@
 	g.shutdown.Begin(ctx, drainTime)
 	g.ready.Set(false)
 	g.logEvent("stopping")
+	// The next holder counts open grants as spent, so tokens that this process holds of its own partitions are returned first.
+	g.returnAll(ctx, func(partition int) bool {
+		_, held := g.owner.HeldPartition(partition)
+		return held
+	})
 	g.leave(ctx)
 	g.pokePeers(ctx)
 	g.shutdown.AwaitDrained(ctx)
 	g.shutdown.Close()
 }
 
-// AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends.
+// AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends. It
+// returns the tokens that callers' turns, which must have ended, left unused.
 func (g *Gateway) AwaitPeerTurns(ctx context.Context) {
-	g.returnIdle(time.Now())
+	g.returnAll(ctx, anyPartition)
 	poll := time.NewTicker(peerTurnsPollInterval)
 	defer poll.Stop()
 	for !g.readers.none() {
