gate: the gateway of the tests of cold upstreams has distances

Change: newColdGateway sets them as New does. Ruled out: to take nil for no distances, since New never leaves them nil.

--- a/internal/role/gate/cold_test.go
+++ b/internal/role/gate/cold_test.go
@@ -13,6 +13,7 @@
 	"galenaward.example/galenaward/internal/plat/group"
 	"galenaward.example/galenaward/internal/plat/telem"
 	"galenaward.example/galenaward/internal/role/owner"
+	"galenaward.example/galenaward/internal/sched/learn"
 	"galenaward.example/galenaward/internal/sched/permit"
 	"galenaward.example/galenaward/internal/sched/roster"
 	"galenaward.example/galenaward/internal/state/layout"
@@ -26,6 +27,7 @@
 	g.group = group.New(ctx)
 	g.owner = owner.New(g.group, nil, 1, s.ListenPeers)
 	g.rates, g.permits = newRates(g), newPermits(g)
+	g.distances.Store(new(learn.Distances))
 	g.layout.Store(layout.New(layout.Layout{Services: []layout.Service{
 		{Name: "slow", Cold: &layout.Cold{Start: time.Minute, PerSecond: 28}}, {Name: "plain"},
 	}}))
