A repeated request for a grant gets the same grant; a stop returns tokens before partitions move

Cause: a gateway repeats a request to the home when no answer arrives, and each repeat reserved tokens that nobody knew of. Change: a request has an ID that stays the same until an answer arrives. The home keeps it with the open grant and gives that grant again; the answer states its tokens, since a repeat may ask for another number. Older gateways send no ID, and homes that answer without tokens granted what was asked for. Ruled out: to recall from the gateway that asks, which does not know what it has not received; to shorten the time after which a grant expires, since its tokens count as spent.

A stopping gateway returns all unused tokens before it leaves: when the store assigns partitions anew, those of other gateways move as well.

--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"cmp"
 	"context"
+	"crypto/rand"
 	"sync"
 	"time"
 
@@ -32,6 +34,18 @@
 	started bool
 	// asking is closed when the request to the home that is in progress ends; nil if there is none.
 	asking chan struct{}
+	// ask identifies the request that no grant has answered yet; empty if there is none.
+	ask string
+}
+
+// beginAsking marks that a request to the home is in progress, and returns its ID. While no answer arrives, it is the same
+// for later requests: the home may have granted the tokens.
+func (p *programAllowance) beginAsking() string {
+	p.asking = make(chan struct{})
+	if p.ask == "" {
+		p.ask = rand.Text()
+	}
+	return p.ask
 }
 
 func newAllowances() *allowances { return &allowances{m: make(map[turns.Ref]*programAllowance)} }
@@ -52,6 +66,7 @@
 	// missing is the number of tokens to ask the home for. If it is zero and ok is not set, a request is in progress that
 	// ends when wait is closed.
 	missing int64
+	ask     string
 	wait    <-chan struct{}
 }
 
@@ -70,21 +85,19 @@
 	if p.asking != nil {
 		return reservation{wait: p.asking}
 	}
-	p.asking = make(chan struct{})
-	return reservation{missing: tokens - p.value.Free()}
+	return reservation{missing: tokens - p.value.Free(), ask: p.beginAsking()}
 }
 
 // shortOf returns how many tokens the program lacks for its next turn, unless a request is in progress. A caller that is
-// told a positive number must call answered.
-func (a *allowances) shortOf(ref turns.Ref, tokens int64) int64 {
+// told a positive number must ask with the ID, and call answered.
+func (a *allowances) shortOf(ref turns.Ref, tokens int64) (missing int64, ask string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, ok := a.m[ref]
 	if !ok || p.asking != nil || p.value.Running() || p.value.Free() >= tokens {
-		return 0
+		return 0, ""
 	}
-	p.asking = make(chan struct{})
-	return tokens - p.value.Free()
+	return tokens - p.value.Free(), p.beginAsking()
 }
 
 // answered ends a request to the home, which gave the grant or none.
@@ -97,7 +110,7 @@
 		p.asking = nil
 	}
 	if g != nil {
-		p.value, p.partition = p.value.WithGrant(g.ID, tokens), partition
+		p.value, p.partition, p.ask = p.value.WithGrant(g.ID, cmp.Or(g.Tokens, tokens)), partition, ""
 		p.started = p.started || g.Started
 	}
 }
@@ -128,13 +141,12 @@
 	return p.partition, returns
 }
 
-// releaseIdle gives up the unused tokens of programs that ran no turn since the given time, by partition. Partitions that
-// are not wanted are left out.
-func (a *allowances) releaseIdle(since time.Time, wanted func(partition int) bool) map[int][]allow.Return {
+// releaseIdle gives up the unused tokens of programs that ran no turn since the given time, by partition.
+func (a *allowances) releaseIdle(since time.Time) map[int][]allow.Return {
 	a.mu.Lock()
 	var idle []turns.Ref
 	for ref, p := range a.m {
-		if p.lastUsed.Before(since) && !p.value.Running() && p.asking == nil && wanted(p.partition) {
+		if p.lastUsed.Before(since) && !p.value.Running() && p.asking == nil {
 			idle = append(idle, ref)
 		}
 	}
@@ -151,18 +163,16 @@
 // returnIdle returns the tokens of programs that ran no turn since the given time to their homes. Tokens whose return
 // does not arrive count as spent.
 func (g *Gateway) returnIdle(since time.Time) {
-	for partition, returns := range g.allowances.releaseIdle(since, anyPartition) {
+	for partition, returns := range g.allowances.releaseIdle(since) {
 		g.sendReturnsAsync(partition, returns)
 	}
 }
 
-func anyPartition(int) bool { return true }
-
-// returnAll returns the unused tokens of programs of the wanted partitions, and waits until the homes have answered or ctx
-// ends. It must be used when the process stops: a return in the background would end with the process.
-func (g *Gateway) returnAll(ctx context.Context, wanted func(partition int) bool) {
+// returnAll returns all unused tokens, and waits until the homes have answered, for grantTimeout at most. It must be used when
+// the process stops: a return in the background would end with the process.
+func (g *Gateway) returnAll(ctx context.Context) {
 	var eg errgroup.Group
-	for partition, returns := range g.allowances.releaseIdle(time.Now(), wanted) {
+	for partition, returns := range g.allowances.releaseIdle(time.Now()) {
 		eg.Go(func() error {
 			g.reportReturns(ctx, partition, returns)
 			return nil
--- a/internal/role/gate/grants.go
+++ b/internal/role/gate/grants.go
@@ -26,7 +26,7 @@
 )
 
 type (
-	// grantRequest asks the home of a program for tokens of its budget, and returns tokens of earlier grants.
+	// grantRequest asks the home of a program for tokens of its budget.
 	grantRequest struct {
 		Workspace string `json:"workspace"`
 		Program   string `json:"program"`
@@ -40,6 +40,8 @@
 		AccountMS int64 `json:"account_ms"`
 		// LeftMS is the time that the caller has left.
 		LeftMS int64 `json:"left_ms"`
+		// Ask is the same in each repeat of a request until an answer arrives, so that the home grants the tokens once.
+		Ask string `json:"ask,omitempty"`
 		// From is the peer address of the gateway that asks.
 		From string `json:"from"`
 		// Ahead means that no turn waits for the tokens, so that other gateways need not give up theirs.
@@ -49,9 +51,11 @@
 		// Cached names the engine that caches a part, as far as the gateway knows.
 		Cached *cachedPart `json:"cached,omitempty"`
 	}
-	// grantAnswer holds the ID of the grant. Started says that the program used tokens before.
+	// grantAnswer holds the ID of the grant and its tokens; zero if an older version of the gateway answers, which grants as
+	// many as were asked for. Started says that the program used tokens before.
 	grantAnswer struct {
 		ID      string      `json:"id"`
+		Tokens  int64       `json:"tokens,omitempty"`
 		Started bool        `json:"started,omitempty"`
 		Cached  *cachedPart `json:"cached,omitempty"`
 	}
@@ -91,10 +95,10 @@
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
 	if err := g.awaitGrant(ctx, p, grant); err != nil {
-		p.ReturnGrant(grant.ID, q.Tokens, true, time.Now())
+		p.ReturnGrant(grant.ID, grant.Tokens, true, time.Now())
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
-	return grantAnswer{ID: grant.ID, Started: grant.Started, Cached: g.knownPart(q)}, nil
+	return grantAnswer{ID: grant.ID, Tokens: grant.Tokens, Started: grant.Started, Cached: g.knownPart(q)}, nil
 }
 
 // awaitGrant waits until the record of the grant is durable.
@@ -115,7 +119,7 @@
 // and do not use.
 func (g *Gateway) grantOrRecall(ctx context.Context, p *owner.Partition, q grantRequest) (owner.Grant, error) {
 	c := turns.Claim{
-		Program: q.program(), Budget: q.Budget, MaxTokens: q.Tokens, TurnTokens: q.TurnTokens,
+		Program: q.program(), Budget: q.Budget, MaxTokens: q.Tokens, TurnTokens: q.TurnTokens, Ask: q.Ask,
 		AccountTTL: time.Duration(q.AccountMS) * time.Millisecond,
 	}
 	patience := time.Duration(q.LeftMS) * time.Millisecond
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -54,8 +54,8 @@
 	if b.gateway.shutdown.Begun() {
 		return
 	}
-	if missing := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
-		b.gateway.renewAsync(b.turn, missing)
+	if missing, ask := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
+		b.gateway.renewAsync(b.turn, missing, ask)
 	}
 }
 
@@ -98,7 +98,7 @@
 			b.started = r.started
 			return b, nil
 		case r.missing > 0:
-			answer, f := g.askHome(ctx, q, r.missing)
+			answer, f := g.askHome(ctx, q, r.missing, r.ask)
 			if f != nil {
 				g.allowances.answered(q.program(), q.Partition, 0, nil)
 				return nil, f
@@ -118,10 +118,10 @@
 }
 
 // askHome asks the program's home for tokens, and waits while the partition changes hands.
-func (g *Gateway) askHome(ctx context.Context, q *turnRequest, tokens int64) (grantAnswer, *fault.Fault) {
+func (g *Gateway) askHome(ctx context.Context, q *turnRequest, tokens int64, ask string) (grantAnswer, *fault.Fault) {
 	waitUntil := time.Now().Add(ownerWaitTimeout)
 	for tries := 1; ; tries++ {
-		answer, f := g.askGrant(ctx, q.grantRequest(g, tokens))
+		answer, f := g.askGrant(ctx, q.grantRequest(g, tokens, ask))
 		if f == nil || !shouldRetryOwner(f) {
 			g.unowned.markOwned(q.Partition)
 			return answer, f
@@ -165,16 +165,16 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.expelAsync(address)
 	}
-	// The home may have granted tokens that did not arrive. They count as spent once the grant expires there.
+	// The home may have granted tokens that did not arrive. The next request gets them, unless the grant has expired.
 	return answer, g.refuse(fault.PeerUnreachable, "home", "%v", err)
 }
 
 // grantRequest returns the request for tokens of the turn's program.
-func (q *turnRequest) grantRequest(g *Gateway, tokens int64) grantRequest {
+func (q *turnRequest) grantRequest(g *Gateway, tokens int64, ask string) grantRequest {
 	r := grantRequest{
 		Workspace: q.Workspace, Program: q.Call.Program, Partition: q.Partition, Budget: q.Call.Turn.Budget,
 		Tokens: tokens, TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
-		From: g.settings.PeerAddress(),
+		Ask: ask, From: g.settings.PeerAddress(),
 	}
 	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
 		id := q.Call.Turn.Parts[i].ID
@@ -188,9 +188,9 @@
 }
 
 // renewAsync asks for tokens that the program's next turn is expected to need.
-func (g *Gateway) renewAsync(q *turnRequest, tokens int64) {
+func (g *Gateway) renewAsync(q *turnRequest, tokens int64, ask string) {
 	g.group.Go(func(ctx context.Context) error {
-		r := q.grantRequest(g, tokens)
+		r := q.grantRequest(g, tokens, ask)
 		r.Ahead = true
 		answer, f := g.askGrant(ctx, r)
 		if f != nil {
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -30,11 +30,9 @@
 	g.shutdown.Begin(ctx, drainTime)
 	g.ready.Set(false)
 	g.logEvent("stopping")
-	// The next holder counts open grants as spent, so tokens that this process holds of its own partitions are returned first.
-	g.returnAll(ctx, func(partition int) bool {
-		_, held := g.owner.HeldPartition(partition)
-		return held
-	})
+	// The store assigns partitions anew once this process has left, also those of other gateways, and the next holders count
+	// open grants as spent.
+	g.returnAll(ctx)
 	g.leave(ctx)
 	g.pokePeers(ctx)
 	g.shutdown.AwaitDrained(ctx)
@@ -44,7 +42,7 @@
 // AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends. It
 // returns the tokens that callers' turns, which must have ended, left unused.
 func (g *Gateway) AwaitPeerTurns(ctx context.Context) {
-	g.returnAll(ctx, anyPartition)
+	g.returnAll(ctx)
 	poll := time.NewTicker(peerTurnsPollInterval)
 	defer poll.Stop()
 	for !g.readers.none() {
--- a/internal/state/turns/grant.go
+++ b/internal/state/turns/grant.go
@@ -25,19 +25,52 @@
 	Holder string
 	// Tokens is the number of tokens that may have been used of the grant; at least 0.
 	Tokens int64
+	// Started says that the program had used tokens, or held some, before the grant.
+	Started bool
+	// ask is the request that it answers.
+	ask ask
 	// renewedAt is when the grant was given, or tokens of it were last returned.
 	renewedAt time.Time
 }
 
+// ask identifies a request for a grant; the zero value stands for any that is not repeated.
+type ask struct {
+	program    Ref
+	holder, id string
+}
+
+func (c Claim) askOf(holder string) ask {
+	if c.Ask == "" {
+		return ask{}
+	}
+	return ask{c.Program, holder, c.Ask}
+}
+
+// GrantedBefore returns the open grant that an earlier request with the claim's Ask got, if there is one. The holder asks
+// again only while it has not received the answer, so it has used nothing of the grant.
+func (l *Ledger) GrantedBefore(c Claim, holder string) (id string, g Grant, ok bool) {
+	if id, ok = l.asks[c.askOf(holder)]; !ok {
+		return "", Grant{}, false
+	}
+	return id, l.grants[id], true
+}
+
 // Grant reserves the claim's MaxTokens for the holder. It returns the grant's ID and the record that must be durable
 // before the tokens are used, unless Allowed was true before, or nil if an earlier record covers them.
 func (l *Ledger) Grant(c Claim, holder string, now time.Time) (id string, rec *store.Record, err error) {
+	started := l.Started(c.Program)
 	if rec, err = l.Reserve(c, now); err != nil {
 		return "", nil, err
 	}
 	l.nextGrant++
 	id = strconv.FormatInt(l.nextGrant, 36)
-	l.grants[id] = Grant{Program: c.Program, Holder: holder, Tokens: c.MaxTokens, renewedAt: now}
+	g := Grant{
+		Program: c.Program, Holder: holder, Tokens: c.MaxTokens, Started: started, ask: c.askOf(holder), renewedAt: now,
+	}
+	l.grants[id] = g
+	if g.ask != (ask{}) {
+		l.asks[g.ask] = id
+	}
 	return id, rec, nil
 }
 
@@ -56,6 +89,9 @@
 	if closed {
 		p.Reserved, p.Spent = p.Reserved-g.Tokens, p.Spent+g.Tokens
 		delete(l.grants, id)
+		if l.asks[g.ask] == id {
+			delete(l.asks, g.ask)
+		}
 	}
 	l.accounts[g.Program] = p
 	return nil
--- a/internal/state/turns/grant_test.go
+++ b/internal/state/turns/grant_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -169,3 +171,39 @@
 		t.Errorf("no run had two deaths with tokens that no record covered")
 	}
 }
+
+// TestRepeatedRequestGetsTheSameGrant guards against a program whose budget is used up by repeats of a request whose answers
+// were lost, and against a repeat that makes a program count as started.
+func TestRepeatedRequestGetsTheSameGrant(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := New()
+	l.Open(true, now)
+	c := Claim{Program: Ref{"w", "p"}, Budget: 100, MaxTokens: 30, TurnTokens: 30, AccountTTL: time.Hour, Ask: "a1"}
+	first, _, err := l.Grant(c, "g1", now)
+	is.NoErr(err)
+	again := c
+	again.MaxTokens = 20 // Part of what was missing has been returned by other turns meanwhile.
+	id, g, ok := l.GrantedBefore(again, "g1")
+	is.True(ok)
+	is.Equal(id, first)
+	is.Equal(g.Tokens, int64(30))
+	is.True(!g.Started)
+	is.Equal(l.Account(c.Program).Reserved, int64(30))
+
+	_, _, ok = l.GrantedBefore(c, "g2")
+	is.True(!ok) // Another gateway.
+	other := c
+	other.Ask = ""
+	_, _, ok = l.GrantedBefore(other, "g1")
+	is.True(!ok) // An older version of the gateway, which does not say which request it repeats.
+	other = c
+	other.Program.ID = "q"
+	_, _, ok = l.GrantedBefore(other, "g1")
+	is.True(!ok)
+
+	is.NoErr(l.Return(first, 30, true, now))
+	_, _, ok = l.GrantedBefore(c, "g1")
+	is.True(!ok) // A closed grant is not given again.
+	is.Equal(len(l.asks), 0)
+}
--- a/internal/state/turns/ledger.go
+++ b/internal/state/turns/ledger.go
@@ -73,6 +73,8 @@
 	keptUntil map[Ref]time.Time
 	// grants holds the open grants by their IDs. Their tokens are part of Reserved.
 	grants map[string]Grant
+	// asks holds the IDs of open grants by the requests that they answered.
+	asks map[ask]string
 	// nextGrant numbers the grants of this ledger.
 	nextGrant int64
 	handover
@@ -82,7 +84,7 @@
 func New() *Ledger {
 	return &Ledger{
 		turns: make(map[Ref]Turn), accounts: make(map[Ref]Account), keptUntil: make(map[Ref]time.Time),
-		grants: make(map[string]Grant),
+		grants: make(map[string]Grant), asks: make(map[ask]string),
 	}
 }
 
@@ -101,6 +103,8 @@
 	// TurnTokens is set for grants, whose MaxTokens may be those of more or less than a turn: the maximum number of tokens
 	// of one turn.
 	TurnTokens int64
+	// Ask identifies a request for a grant, so that its repeat gets the same grant. Empty if it is not repeated.
+	Ask string
 }
 
 // turnTokens returns the maximum number of tokens that one turn uses.
