--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -88,6 +88,14 @@
 	return reservation{missing: tokens - p.value.Free(), ask: p.beginAsking()}
 }
 
+// started reports whether the program is known here to have used tokens.
+func (a *allowances) started(ref turns.Ref) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, ok := a.m[ref]
+	return ok && p.started
+}
+
 // shortOf returns how many tokens the program lacks for its next turn, unless a request is in progress. A caller that is
 // told a positive number must ask with the ID, and call answered.
 func (a *allowances) shortOf(ref turns.Ref, tokens int64) (missing int64, ask string) {
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -32,6 +32,8 @@
 	gateway *Gateway
 	turn    *turnRequest
 	tokens  int64
+	// uncounted says that the turn states no maximum of tokens, so that what it uses is not counted.
+	uncounted bool
 	// started says that the program had started before this turn.
 	started bool
 }
@@ -44,6 +46,9 @@
 // reserved, the home would tell other gateways that it has.
 func (b *localBudget) end(tokens int64) {
 	program := b.turn.program()
+	if b.uncounted {
+		tokens = min(tokens, b.tokens)
+	}
 	b.gateway.allowances.end(program, b.tokens, tokens, b.started)
 	if tokens == 0 {
 		if !b.started {
@@ -51,7 +56,7 @@
 		}
 		return
 	}
-	if b.gateway.shutdown.Begun() {
+	if b.uncounted || b.gateway.shutdown.Begun() {
 		return
 	}
 	if missing, ask := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
@@ -88,9 +93,16 @@
 	return t.runWithinRate(ctx, a)
 }
 
+// uncountedTokens is what the first turn of a program at a gateway uses if it states no maximum. The home counts it, so that
+// other gateways learn that the program has started.
+const uncountedTokens = 1
+
 // reserveLocally reserves the turn's tokens in this process's allowance and asks the home for what is missing.
 func (g *Gateway) reserveLocally(ctx context.Context, q *turnRequest) (*localBudget, *fault.Fault) {
-	b := &localBudget{gateway: g, turn: q, tokens: q.Call.Turn.MaxTokens}
+	b := &localBudget{gateway: g, turn: q, tokens: q.Call.Turn.MaxTokens, uncounted: q.Call.Turn.MaxTokens == 0}
+	if b.uncounted && !g.allowances.started(q.program()) {
+		b.tokens = uncountedTokens
+	}
 	for {
 		r := g.allowances.reserve(q.program(), b.tokens, time.Now())
 		switch {
@@ -173,7 +185,7 @@
 func (q *turnRequest) grantRequest(g *Gateway, tokens int64, ask string) grantRequest {
 	r := grantRequest{
 		Workspace: q.Workspace, Program: q.Call.Program, Partition: q.Partition, Budget: q.Call.Turn.Budget,
-		Tokens: tokens, TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
+		Tokens: tokens, TurnTokens: max(q.Call.Turn.MaxTokens, uncountedTokens), AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
 		Ask: ask, From: g.settings.PeerAddress(),
 	}
 	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
