turns: a grant that a repeated request got is not taken back when the first request fails

The first request may fail at the home, its record not being durable in time, after its repeat was given the same grant; or the first may arrive after the repeat and fail. Closing the grant then freed tokens that the gateway was using, so that the budget could be exceeded. Change: a failing request withdraws its grant only if no repeat got it. Ruled out: to check before each answer that the grant is open, which leaves a moment between check and close.

--- a/internal/role/gate/grants.go
+++ b/internal/role/gate/grants.go
@@ -95,7 +95,7 @@
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
 	if err := g.awaitGrant(ctx, p, grant); err != nil {
-		p.ReturnGrant(grant.ID, grant.Tokens, true, time.Now())
+		p.WithdrawGrant(grant.ID, time.Now())
 		return grantAnswer{}, g.budgetFault(err, time.Duration(q.LeftMS)*time.Millisecond)
 	}
 	return grantAnswer{ID: grant.ID, Tokens: grant.Tokens, Started: grant.Started, Cached: g.knownPart(q)}, nil
--- a/internal/role/owner/grant.go
+++ b/internal/role/owner/grant.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// WithdrawGrant takes back a grant of which the process that asked is not told.
+func (p *Partition) WithdrawGrant(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id, ok := strings.CutPrefix(id, p.grantPrefix()); ok && !p.closing {
+		p.ledger.Withdraw(id, now)
+	}
+}
+
 // GrantHolders returns the processes that hold grants of the program.
 func (p *Partition) GrantHolders(program turns.Ref) []string {
 	p.mu.Lock()
--- a/internal/state/turns/grant.go
+++ b/internal/state/turns/grant.go
@@ -27,8 +27,9 @@
 	Tokens int64
 	// Started says that the program had used tokens, or held some, before the grant.
 	Started bool
-	// ask is the request that it answers.
-	ask ask
+	// ask is the request that it answers; repeated says that a repeat of the request got it as well.
+	ask      ask
+	repeated bool
 	// renewedAt is when the grant was given, or tokens of it were last returned.
 	renewedAt time.Time
 }
@@ -52,7 +53,18 @@
 	if id, ok = l.asks[c.askOf(holder)]; !ok {
 		return "", Grant{}, false
 	}
-	return id, l.grants[id], true
+	g = l.grants[id]
+	g.repeated = true
+	l.grants[id] = g
+	return id, g, true
+}
+
+// Withdraw takes back a grant since the request that it answers fails. It does nothing if the request was repeated: the
+// holder may use the tokens that the other answer gave it, and otherwise asks again or lets the grant expire.
+func (l *Ledger) Withdraw(id string, now time.Time) {
+	if g, ok := l.grants[id]; ok && !g.repeated {
+		_ = l.Return(id, g.Tokens, true, now) // The grant is open.
+	}
 }
 
 // Grant reserves the claim's MaxTokens for the holder. It returns the grant's ID and the record that must be durable
--- a/internal/state/turns/grant_test.go
+++ b/internal/state/turns/grant_test.go
@@ -202,6 +202,19 @@
 	_, _, ok = l.GrantedBefore(other, "g1")
 	is.True(!ok)
 
+	// The first request fails late, when the answer to its repeat may have been received.
+	l.Withdraw(first, now)
+	is.Equal(l.Account(c.Program).Reserved, int64(30))
+	alone := c
+	alone.Ask = "a2"
+	second, _, err := l.Grant(alone, "g1", now)
+	is.NoErr(err)
+	is.Equal(l.Account(c.Program).Reserved, int64(60))
+	l.Withdraw(second, now) // No repeat got it.
+	is.Equal(l.Account(c.Program).Reserved, int64(30))
+	_, _, ok = l.GrantedBefore(alone, "g1")
+	is.True(!ok)
+
 	is.NoErr(l.Return(first, 30, true, now))
 	_, _, ok = l.GrantedBefore(c, "g1")
 	is.True(!ok) // A closed grant is not given again.
