--- a/internal/role/gate/allowances.go
+++ b/internal/role/gate/allowances.go
@@ -1,10 +1,14 @@
 package gate
 
 import (
+	"cmp"
 	"context"
+	"crypto/rand"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"galenaward.example/galenaward/internal/plat/fault"
 	"galenaward.example/galenaward/internal/state/allow"
 	"galenaward.example/galenaward/internal/state/turns"
@@ -30,6 +34,18 @@
 	started bool
 	// asking is closed when the request to the home that is in progress ends; nil if there is none.
 	asking chan struct{}
+	// ask identifies the request that no grant has answered yet; empty if there is none.
+	ask string
+}
+
+// beginAsking marks that a request to the home is in progress, and returns its ID. While no answer arrives, it is the same
+// for later requests: the home may have granted the tokens.
+func (p *programAllowance) beginAsking() string {
+	p.asking = make(chan struct{})
+	if p.ask == "" {
+		p.ask = rand.Text()
+	}
+	return p.ask
 }
 
 func newAllowances() *allowances { return &allowances{m: make(map[turns.Ref]*programAllowance)} }
@@ -50,6 +66,7 @@
 	// missing is the number of tokens to ask the home for. If it is zero and ok is not set, a request is in progress that
 	// ends when wait is closed.
 	missing int64
+	ask     string
 	wait    <-chan struct{}
 }
 
@@ -68,21 +85,27 @@
 	if p.asking != nil {
 		return reservation{wait: p.asking}
 	}
-	p.asking = make(chan struct{})
-	return reservation{missing: tokens - p.value.Free()}
+	return reservation{missing: tokens - p.value.Free(), ask: p.beginAsking()}
+}
+
+// started reports whether the program is known here to have used tokens.
+func (a *allowances) started(ref turns.Ref) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, ok := a.m[ref]
+	return ok && p.started
 }
 
 // shortOf returns how many tokens the program lacks for its next turn, unless a request is in progress. A caller that is
-// told a positive number must call answered.
-func (a *allowances) shortOf(ref turns.Ref, tokens int64) int64 {
+// told a positive number must ask with the ID, and call answered.
+func (a *allowances) shortOf(ref turns.Ref, tokens int64) (missing int64, ask string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, ok := a.m[ref]
 	if !ok || p.asking != nil || p.value.Running() || p.value.Free() >= tokens {
-		return 0
+		return 0, ""
 	}
-	p.asking = make(chan struct{})
-	return tokens - p.value.Free()
+	return tokens - p.value.Free(), p.beginAsking()
 }
 
 // answered ends a request to the home, which gave the grant or none.
@@ -95,7 +118,7 @@
 		p.asking = nil
 	}
 	if g != nil {
-		p.value, p.partition = p.value.WithGrant(g.ID, tokens), partition
+		p.value, p.partition, p.ask = p.value.WithGrant(g.ID, cmp.Or(g.Tokens, tokens)), partition, ""
 		p.started = p.started || g.Started
 	}
 }
@@ -160,6 +183,19 @@
 	}
 }
 
+// returnAll returns all unused tokens, and waits until the homes have answered, for grantTimeout at most. It must be used when
+// the process stops: a return in the background would end with the process.
+func (g *Gateway) returnAll(ctx context.Context) {
+	var eg errgroup.Group
+	for partition, returns := range g.allowances.releaseIdle(time.Now()) {
+		eg.Go(func() error {
+			g.reportReturns(ctx, partition, returns)
+			return nil
+		})
+	}
+	_ = eg.Wait() // reportReturns logs its errors.
+}
+
 // returnAsync returns the unused tokens of a program to its home.
 func (g *Gateway) returnAsync(program turns.Ref) {
 	if partition, returns := g.allowances.release(program); len(returns) > 0 {
@@ -169,15 +205,20 @@
 
 func (g *Gateway) sendReturnsAsync(partition int, returns []allow.Return) {
 	g.group.Go(func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-		defer cancel()
-		if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
-			g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
-		}
+		g.reportReturns(ctx, partition, returns)
 		return nil
 	})
 }
 
+// reportReturns sends the returns and logs if they do not arrive.
+func (g *Gateway) reportReturns(ctx context.Context, partition int, returns []allow.Return) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	if err := g.sendReturns(ctx, returnRequest{Partition: partition, Returns: returns}); err != nil {
+		g.logEvent("grants_not_returned", "partition", partition, "grants", len(returns), "cause", err)
+	}
+}
+
 func (g *Gateway) sendReturns(ctx context.Context, q returnRequest) error {
 	address, self, known := g.owner.AddressOf(q.Partition)
 	if !known {
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -32,6 +32,8 @@
 	gateway *Gateway
 	turn    *turnRequest
 	tokens  int64
+	// uncounted says that the turn states no maximum of tokens, so that what it uses is not counted.
+	uncounted bool
 	// started says that the program had started before this turn.
 	started bool
 }
@@ -39,10 +41,14 @@
 // await returns at once: what a home grants is durable.
 func (*localBudget) await(context.Context) error { return nil }
 
-// end also asks for what the program lacks for its next turn, so that the turn does not wait for it. If the program has
-// not started, it returns the tokens: while they are reserved, the home would tell other gateways that it has.
+// end also asks for what the program lacks for its next turn, so that the turn does not wait for it; not while the process
+// stops, since it would only have to return them. If the program has not started, it returns the tokens: while they are
+// reserved, the home would tell other gateways that it has.
 func (b *localBudget) end(tokens int64) {
 	program := b.turn.program()
+	if b.uncounted {
+		tokens = min(tokens, b.tokens)
+	}
 	b.gateway.allowances.end(program, b.tokens, tokens, b.started)
 	if tokens == 0 {
 		if !b.started {
@@ -50,8 +56,11 @@
 		}
 		return
 	}
-	if missing := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
-		b.gateway.renewAsync(b.turn, missing)
+	if b.uncounted || b.gateway.shutdown.Begun() {
+		return
+	}
+	if missing, ask := b.gateway.allowances.shortOf(program, b.tokens); missing > 0 {
+		b.gateway.renewAsync(b.turn, missing, ask)
 	}
 }
 
@@ -84,9 +93,16 @@
 	return t.runWithinRate(ctx, a)
 }
 
+// uncountedTokens is what the first turn of a program at a gateway uses if it states no maximum. The home counts it, so that
+// other gateways learn that the program has started.
+const uncountedTokens = 1
+
 // reserveLocally reserves the turn's tokens in this process's allowance and asks the home for what is missing.
 func (g *Gateway) reserveLocally(ctx context.Context, q *turnRequest) (*localBudget, *fault.Fault) {
-	b := &localBudget{gateway: g, turn: q, tokens: q.Call.Turn.MaxTokens}
+	b := &localBudget{gateway: g, turn: q, tokens: q.Call.Turn.MaxTokens, uncounted: q.Call.Turn.MaxTokens == 0}
+	if b.uncounted && !g.allowances.started(q.program()) {
+		b.tokens = uncountedTokens
+	}
 	for {
 		r := g.allowances.reserve(q.program(), b.tokens, time.Now())
 		switch {
@@ -94,7 +110,7 @@
 			b.started = r.started
 			return b, nil
 		case r.missing > 0:
-			answer, f := g.askHome(ctx, q, r.missing)
+			answer, f := g.askHome(ctx, q, r.missing, r.ask)
 			if f != nil {
 				g.allowances.answered(q.program(), q.Partition, 0, nil)
 				return nil, f
@@ -114,10 +130,10 @@
 }
 
 // askHome asks the program's home for tokens, and waits while the partition changes hands.
-func (g *Gateway) askHome(ctx context.Context, q *turnRequest, tokens int64) (grantAnswer, *fault.Fault) {
+func (g *Gateway) askHome(ctx context.Context, q *turnRequest, tokens int64, ask string) (grantAnswer, *fault.Fault) {
 	waitUntil := time.Now().Add(ownerWaitTimeout)
 	for tries := 1; ; tries++ {
-		answer, f := g.askGrant(ctx, q.grantRequest(g, tokens))
+		answer, f := g.askGrant(ctx, q.grantRequest(g, tokens, ask))
 		if f == nil || !shouldRetryOwner(f) {
 			g.unowned.markOwned(q.Partition)
 			return answer, f
@@ -161,16 +177,16 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.expelAsync(address)
 	}
-	// The home may have granted tokens that did not arrive. They count as spent once the grant expires there.
+	// The home may have granted tokens that did not arrive. The next request gets them, unless the grant has expired.
 	return answer, g.refuse(fault.PeerUnreachable, "home", "%v", err)
 }
 
 // grantRequest returns the request for tokens of the turn's program.
-func (q *turnRequest) grantRequest(g *Gateway, tokens int64) grantRequest {
+func (q *turnRequest) grantRequest(g *Gateway, tokens int64, ask string) grantRequest {
 	r := grantRequest{
 		Workspace: q.Workspace, Program: q.Call.Program, Partition: q.Partition, Budget: q.Call.Turn.Budget,
-		Tokens: tokens, TurnTokens: q.Call.Turn.MaxTokens, AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
-		From: g.settings.PeerAddress(),
+		Tokens: tokens, TurnTokens: max(q.Call.Turn.MaxTokens, uncountedTokens), AccountMS: q.claim().AccountTTL.Milliseconds(), LeftMS: q.LeftMS,
+		Ask: ask, From: g.settings.PeerAddress(),
 	}
 	for i := len(q.Call.Turn.Parts) - 1; i > 0; i-- {
 		id := q.Call.Turn.Parts[i].ID
@@ -184,9 +200,9 @@
 }
 
 // renewAsync asks for tokens that the program's next turn is expected to need.
-func (g *Gateway) renewAsync(q *turnRequest, tokens int64) {
+func (g *Gateway) renewAsync(q *turnRequest, tokens int64, ask string) {
 	g.group.Go(func(ctx context.Context) error {
-		r := q.grantRequest(g, tokens)
+		r := q.grantRequest(g, tokens, ask)
 		r.Ahead = true
 		answer, f := g.askGrant(ctx, r)
 		if f != nil {
--- a/internal/role/gate/stop.go
+++ b/internal/role/gate/stop.go
@@ -30,15 +30,19 @@
 	g.shutdown.Begin(ctx, drainTime)
 	g.ready.Set(false)
 	g.logEvent("stopping")
+	// The store assigns partitions anew once this process has left, also those of other gateways, and the next holders count
+	// open grants as spent.
+	g.returnAll(ctx)
 	g.leave(ctx)
 	g.pokePeers(ctx)
 	g.shutdown.AwaitDrained(ctx)
 	g.shutdown.Close()
 }
 
-// AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends.
+// AwaitPeerTurns waits until the turns that this process runs for callers of other gateways have ended, or ctx ends. It
+// returns the tokens that callers' turns, which must have ended, left unused.
 func (g *Gateway) AwaitPeerTurns(ctx context.Context) {
-	g.returnIdle(time.Now())
+	g.returnAll(ctx)
 	poll := time.NewTicker(peerTurnsPollInterval)
 	defer poll.Stop()
 	for !g.readers.none() {
