--- a/internal/role/gate/admission.go
+++ b/internal/role/gate/admission.go
@@ -78,8 +78,8 @@
 	if !t.adaptsAdmission() {
 		return
 	}
-	if v, changed := t.gateway.admission.record(t.Service, took, t.objective, time.Now()); changed {
+	if v, changed := t.gateway.admission.record(t.Service, took, t.objective(), time.Now()); changed {
 		t.gateway.logEvent("admission_limit", "service", t.Service, "limit", v.Limit(), "wait", v.Wait(),
-			"objective_ms", t.objective.Milliseconds())
+			"objective_ms", t.ObjectiveMS)
 	}
 }
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -80,7 +80,7 @@
 		}
 		return w.Write(p.Body)
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace, local: true, objective: j.route.LatencyObjective}
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace, local: true}
 	b, f := g.reserveLocally(ctx, q)
 	if f != nil {
 		return f
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -28,7 +28,7 @@
 	chainTimeout = 500 * time.Millisecond
 )
 
-// turnExecution is the execution of a turn at the owner of its partition.
+// turnExecution is the execution of a turn, at the owner of its partition or where it arrived.
 type turnExecution struct {
 	*turnRequest
 	gateway *Gateway
@@ -46,8 +46,6 @@
 	headSent bool
 	// local says that the turn runs where it arrived.
 	local bool
-	// objective is the latency objective for the first event; zero if unknown.
-	objective time.Duration
 	// programStarted means that the program started before this turn.
 	programStarted bool
 }
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -52,6 +52,8 @@
 	// EventTokens is the number of tokens per event.
 	EventTokens int64 `json:"event_tokens"`
 	RetentionMS int64 `json:"retention_ms"`
+	// ObjectiveMS is the latency objective for the first event; zero if an older version of the gateway asks.
+	ObjectiveMS int64 `json:"objective_ms,omitempty"`
 	// LeftMS is the time left for the turn.
 	LeftMS int64 `json:"left_ms"`
 	// StreamID identifies this attempt's stream at the owner. It is chosen at random by the gateway that asks, so that
@@ -133,7 +135,7 @@
 	q := &turnRequest{
 		Call: j.call, Workspace: j.workspace.Name, Partition: g.owner.PartitionOf(j.workspace.Name + "/" + j.call.Program),
 		Service: j.service(), Route: j.route.Name, Priority: j.route.PriorityFor(j.workspace),
-		MaxAttempts:  j.route.MaxAttempts,
+		MaxAttempts: j.route.MaxAttempts, ObjectiveMS: j.route.LatencyObjective.Milliseconds(),
 		Regions:      j.regions,
 		KeepsHistory: j.route.KeepsHistory, Resumable: j.route.Resumable, EventTokens: 1, RetentionMS: j.route.Retention.Milliseconds(),
 	}
@@ -317,6 +319,11 @@
 	g.streams.Cancel(r.PathValue("id"))
 }
 
+// objective returns the latency objective for the first event.
+func (q *turnRequest) objective() time.Duration {
+	return time.Duration(q.ObjectiveMS) * time.Millisecond
+}
+
 // claim returns what the turn reserves from its program's budget.
 func (q *turnRequest) claim() turns.Claim {
 	return turns.Claim{
--- a/internal/sched/admit/adaptive.go
+++ b/internal/sched/admit/adaptive.go
@@ -73,8 +73,11 @@
 // Wait returns the average wait for the first event as a fraction of the latency objective.
 func (a Adaptive) Wait() float64 { return a.wait }
 
-// Apply returns the policy with the limits found.
+// Apply returns the policy with the limits found, and the policy itself before the first turn.
 func (a Adaptive) Apply(p Policy) Policy {
+	if a.limit == 0 {
+		return p
+	}
 	p = p.WithMaxLoad(a.Limit())
 	p.LateMaxLoad = lateLoadFraction * a.Limit()
 	return p
--- a/internal/sched/admit/adaptive_test.go
+++ b/internal/sched/admit/adaptive_test.go
@@ -114,7 +114,7 @@
 // TestPolicyWithoutTurnsIsTheDefault guards against programs that are admitted before anything is known of the engines.
 func TestPolicyWithoutTurnsIsTheDefault(t *testing.T) {
 	is := is.New(t)
-	p := Adaptive{}.Apply(DefaultPolicy())
-	is.Equal(p.MaxLoad, DefaultPolicy().MaxLoad)
-	is.True(p.LateMaxLoad < p.MaxLoad)
+	is.Equal(Adaptive{}.Apply(DefaultPolicy()), DefaultPolicy())
+	now := time.Unix(1_700_000_000, 0)
+	is.Equal(Adaptive{}.WithFirstEvent(time.Second, 0, now).Apply(DefaultPolicy()), DefaultPolicy()) // No objective.
 }
