gate: a request is not sent to an upstream that began to drain after it was picked

So an upstream may be picked seconds before the request is written. Change: the check right before the first byte, made for permits, also asks whether the upstream still takes requests. Not shown: that this is the whole cause.

--- a/internal/role/gate/cold.go
+++ b/internal/role/gate/cold.go
@@ -23,8 +23,9 @@
 )
 
 // errNoPermit is the reason why a request was not sent to a cold upstream, errPermitExpired why it was not sent although
-// it had a permit.
+// it had a permit, errUpstreamClosed why it was not sent to an upstream that was picked.
 var (
+	errUpstreamClosed = errors.New("the upstream takes no more requests since it was picked")
 	errNoPermit      = errors.New("only cold upstreams are left, and there is no permit for them")
 	errPermitExpired = errors.New("the permit for a cold upstream expired before the request could be sent")
 )
@@ -103,18 +104,23 @@
 	return u, ok
 }
 
-// checkPermit returns an error if the attempt needs a permit and its permit has expired.
-func (a *attempts) checkPermit() error {
-	if a.permit == nil || a.permit.Valid(time.Now()) {
-		return nil
+// checkSend returns an error if the upstream must not get the request any more: the permit that it needs has expired, or
+// the upstream began to drain or its data centre was evacuated since it was picked. Connecting to an upstream takes up to
+// a second, and a process that is short of processor time may take longer.
+func (g *Gateway) checkSend(a *attempts, u roster.Upstream) error {
+	if a.permit != nil && !a.permit.Valid(time.Now()) {
+		return errPermitExpired
 	}
-	return errPermitExpired
+	if !g.roster.Accepts(u.Start()) {
+		return errUpstreamClosed
+	}
+	return nil
 }
 
-// unsentOutcome returns the outcome of an exchange in which nothing was sent. An expired permit says nothing about the
-// upstream.
+// unsentOutcome returns the outcome of an exchange in which nothing was sent. An expired permit or a later notice says
+// nothing about the reachability of the upstream.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPermitExpired) {
+	if errors.Is(err, errPermitExpired) || errors.Is(err, errUpstreamClosed) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
--- a/internal/role/gate/cold_test.go
+++ b/internal/role/gate/cold_test.go
@@ -72,14 +72,14 @@
 		a := coldAttempts("slow")
 		u, _ := g.pickOrWait(t.Context(), a, "", 0)
 		is.Equal(u.Instance, "cold")
-		is.NoErr(a.checkPermit())
+		is.NoErr(g.checkSend(a, u))
 		is.Equal(g.metrics.Get("permits_used"), int64(1))
 		time.Sleep(permit.Validity)
-		is.True(errors.Is(a.checkPermit(), errPermitExpired)) // The connection took too long.
+		is.True(errors.Is(g.checkSend(a, u), errPermitExpired)) // The connection took too long.
 		a = coldAttempts("slow")
 		u, _ = g.pickOrWait(t.Context(), a, "", 0)
 		is.Equal(u.Instance, "warm")
-		is.NoErr(a.checkPermit())
+		is.NoErr(g.checkSend(a, u))
 	})
 }
 
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -201,7 +201,7 @@
 	}
 	q := &httpc.Request{
 		ID: a.call.ID, Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
-		Header: g.codec.RequestHeaders(a.call, d), Body: body, Check: a.checkPermit,
+		Header: g.codec.RequestHeaders(a.call, d), Body: body, Check: func() error { return g.checkSend(a, u) },
 	}
 	resp, err := g.pool.Do(ctx, u.Address, q, g.codec.ResponseID)
 	if errors.Is(err, httpc.ErrUnsent) {
--- a/internal/sched/roster/evacuate.go
+++ b/internal/sched/roster/evacuate.go
@@ -118,6 +118,14 @@
 	return n
 }
 
+// Accepts reports whether the start of an upstream is still listed and takes new requests.
+func (t *Table) Accepts(start Start) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.upstreams[start.Instance]
+	return ok && s.Start() == start && !s.Draining && !t.evacuations.Contains(s.DataCentre)
+}
+
 // open reports whether the upstreams of a data centre get new requests that allows permits; nil permits all. The caller
 // holds the lock.
 func (t *Table) open(dataCentre string, allows func(dataCentre string) bool) bool {
