--- a/internal/role/gate/cold.go
+++ b/internal/role/gate/cold.go
@@ -26,8 +26,8 @@
 // it had a permit, errUpstreamClosed why it was not sent to an upstream that was picked.
 var (
 	errUpstreamClosed = errors.New("the upstream takes no more requests since it was picked")
-	errNoPermit      = errors.New("only cold upstreams are left, and there is no permit for them")
-	errPermitExpired = errors.New("the permit for a cold upstream expired before the request could be sent")
+	errNoPermit       = errors.New("only cold upstreams are left, and there is no permit for them")
+	errPermitExpired  = errors.New("the permit for a cold upstream expired before the request could be sent")
 )
 
 // isColdLimited reports whether cold upstreams of the service need permits.
