--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,8 +37,10 @@
 	input                                         []byte
 	budget, maxTokens, resumeAt                   int
 	resumable                                     bool
-	left                                          time.Duration
-	promptTokens                                  int
+	// deadline is how long the client waits; 4 s if it is zero.
+	deadline     time.Duration
+	left         time.Duration
+	promptTokens int
 }
 
 func (c *Client) do(ctx context.Context, a *attempt, address, key string, h http.Header, deadline time.Duration) {
@@ -164,7 +167,7 @@
 	if t.previous != "" {
 		h.Set("X-Galenaward-Previous-Turn", t.previous)
 	}
-	c.do(ctx, a, address, t.key, h, 4*time.Second)
+	c.do(ctx, a, address, t.key, h, cmp.Or(t.deadline, 4*time.Second))
 	return a
 }
 
--- a/review/rig-2/innocent.go
+++ b/review/rig-2/innocent.go
@@ -33,7 +33,7 @@
 			}
 			q := turn{
 				program: v.id, session: v.id, key: t.keys[0], tenant: t.name, path: path, input: []byte(input),
-				budget: 100000, maxTokens: events * chunkTokens, left: left,
+				budget: 100000, maxTokens: events * chunkTokens, left: left, deadline: time.Until(deadline),
 			}
 			if v.last != nil {
 				q.previous = v.last.id
