--- a/review/rig-2/allocators.go
+++ b/review/rig-2/allocators.go
@@ -101,6 +101,7 @@
 	time.Sleep(4 * time.Second)
 	if o.trouble {
 		f.store.set(func() { f.store.badParts[x] = true })
+		down := time.Now()
 		w.log("the store takes no calls for partition %d", x)
 		time.Sleep(time.Second)
 		for range 5 { // Who comes back first gets what the others had; it is to be another one.
@@ -116,7 +117,7 @@
 			return fmt.Errorf("nobody holds partition %d", x)
 		}
 		w.log("all are members again; partition %d is held by %s", x, h.name)
-		time.Sleep(2900 * time.Millisecond)
+		time.Sleep(time.Until(down.Add(4500 * time.Millisecond)))
 		f.store.set(func() { clear(f.store.badParts) })
 		w.log("the store takes all calls again")
 	}
--- a/review/rig-2/innocent.go
+++ b/review/rig-2/innocent.go
@@ -21,6 +21,7 @@
 func (v *conversation) say(ctx context.Context, f *Fleet, c *Client, t tenant, path, input string, events int, aim time.Duration) []*attempt {
 	var tries []*attempt
 	began := time.Now()
+	at := rand.IntN(len(f.gateways))
 	for round := range 3 {
 		if round > 0 {
 			time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
@@ -38,7 +39,11 @@
 			if v.last != nil {
 				q.previous = v.last.id
 			}
-			a := c.turn(ctx, f.gateways[rand.IntN(len(f.gateways))].front, q)
+			if len(tries) > 0 { // Another try takes a new connection, to another gateway.
+				at = (at + 1) % len(f.gateways)
+				c = newClient(c.world)
+			}
+			a := c.turn(ctx, f.gateways[at].front, q)
 			tries = append(tries, a)
 			if a.whole {
 				v.last = a
