--- a/internal/role/gate/call.go
+++ b/internal/role/gate/call.go
@@ -90,6 +90,9 @@
 	Signed  bool
 	Load    roster.Load
 	HasLoad bool
+	// RateCap is the rate of requests that the upstream accepts. InvalidRateCap is the value if it is malformed.
+	RateCap        roster.RateCap
+	InvalidRateCap string
 }
 
 // Codec translates between calls and the upstream protocol.
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -211,6 +211,7 @@
 		return nil, false
 	}
 	a.sent++
+	g.countSent(u)
 	if err != nil {
 		g.recordBroken(ctx, a, u, err)
 		return nil, false
@@ -222,6 +223,7 @@
 	if info.Leaving {
 		g.observeLeaving(u.Start())
 	}
+	g.observeRateCap(u, info)
 	if info.NotExecuted || info.Misdirected {
 		o := roster.Rejected
 		if info.Misdirected {
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -67,11 +67,13 @@
 	allowances      *allowances
 	admission       admission
 	answeredSampler sampler
-	suspects        *crashSuspects
-	notices         *notifier
-	unowned         unownedPartitions
-	peerRegions     peerRegions
-	latencies       latencies
+	// invalidCaps limits the log lines about malformed rate caps.
+	invalidCaps sampler
+	suspects    *crashSuspects
+	notices     *notifier
+	unowned     unownedPartitions
+	peerRegions peerRegions
+	latencies   latencies
 	// workTimes are the typical times that capacity is learned from: like latencies, but without the network.
 	workTimes latencies
 	// distances are the round trips to data centres; nil before the first is known.
@@ -133,6 +135,7 @@
 	gt.registerAffinityGauges()
 	gt.permits = newPermits(gt)
 	d.Metrics.Gauge("cold_upstreams", gt.coldUpstreams)
+	d.Metrics.Gauge("capped_upstreams", gt.cappedUpstreams)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 		MaxConnections: s.PeerConnections(), MaxHeaderBytes: maxPeerHeadBytes, MaxHeaderLines: maxPeerHeadLines,
--- /dev/null
+++ b/internal/sched/roster/ratecap_test.go
@@ -0,0 +1,58 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestNewestCapReportApplies guards against an older report, which a peer passed on late, that replaces a newer one.
+func TestNewestCapReportApplies(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	inForce := func(perSecond float64) RateCap { return RateCap{PerSecond: perSecond, InForce: true} }
+	tests := []struct {
+		name    string
+		reports []CapReport
+		want    RateCap
+		// changes is the number of reports that are changes.
+		changes int
+	}{
+		{"none", []CapReport{{SeenAt: at}}, RateCap{}, 0},
+		{"a cap", []CapReport{{Cap: inForce(2), SeenAt: at}}, inForce(2), 1},
+		{"a cap of zero", []CapReport{{Cap: inForce(0), SeenAt: at}}, inForce(0), 1},
+		{"the same again", []CapReport{{Cap: inForce(2), SeenAt: at}, {Cap: inForce(2), SeenAt: at.Add(1)}}, inForce(2), 1},
+		{"a slight change", []CapReport{{Cap: inForce(2), SeenAt: at}, {Cap: inForce(2.1), SeenAt: at.Add(1)}}, inForce(2.1), 1},
+		{"lower", []CapReport{{Cap: inForce(2), SeenAt: at}, {Cap: inForce(1), SeenAt: at.Add(1)}}, inForce(1), 2},
+		{"lifted", []CapReport{{Cap: inForce(2), SeenAt: at}, {SeenAt: at.Add(1)}}, RateCap{}, 2},
+		{"lifted before", []CapReport{{Cap: inForce(2), SeenAt: at}, {SeenAt: at.Add(-1)}}, inForce(2), 1},
+		{"older", []CapReport{{SeenAt: at}, {Cap: inForce(2), SeenAt: at.Add(-1)}}, RateCap{}, 0},
+		{"another start", []CapReport{{Start: Start{Incarnation: 7}, Cap: inForce(2), SeenAt: at}}, RateCap{}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := New()
+			table.Update(Upstream{Instance: "x", Incarnation: 1, Service: "s", Slots: 4})
+			changes := 0
+			for _, r := range tt.reports {
+				r.Instance = "x"
+				if r.Incarnation == 0 {
+					r.Incarnation = 1
+				}
+				if table.RecordCap(r) {
+					changes++
+				}
+			}
+			got, _ := table.Cap(Start{"x", 1})
+			is.Equal(got.Cap, tt.want)
+			is.Equal(changes, tt.changes)
+			count := map[bool]int{true: 1}[tt.want.InForce]
+			is.Equal(table.CappedCount("s"), count)
+			is.Equal(table.CappedCount(""), count)
+			is.Equal(table.CappedCount("other"), 0)
+			table.Update(Upstream{Instance: "x", Incarnation: 2, Service: "s", Slots: 4}) // A new start has no cap.
+			is.Equal(table.CappedCount(""), 0)
+		})
+	}
+}
--- a/internal/sched/roster/roster.go
+++ b/internal/sched/roster/roster.go
@@ -113,6 +113,7 @@
 	// is picked if there is no other.
 	accepting bool
 	cold      coldState
+	rateCap   capState
 	// missingSince is when the announcement vanished during an outage of the store; zero if it is present.
 	missingSince time.Time
 	// instanceHash is used by affinityHash only.
@@ -126,6 +127,8 @@
 	upstreams map[string]*upstreamState
 	// coldUntil is until when any upstream may be cold.
 	coldUntil time.Time
+	// mayBeCapped is false if no upstream has a rate cap in force.
+	mayBeCapped bool
 	// holdUntil is until when vanished announcements are ignored after an outage of the store.
 	holdUntil time.Time
 	// leaving holds the upstreams that announced that they are leaving, and when. It outlasts their announcements,
