roster, gate: a capped upstream counts with what its rate sustains

Change: for the admission of programs, a capped upstream has the slots that its rate sustains at the typical time of a turn.

--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -221,6 +221,7 @@
 	}
 	slots, requests := g.roster.Usage(roster.UsageQuery{
 		Service: q.Service, Allows: g.dataCentreFilter(q.Regions), SparseReports: t.local,
+		Typical: g.latencies.typical(turnKind(q.Service)),
 	}, now)
 	usage := admit.Usage{Slots: slots, Requests: requests}
 	left := time.Duration(q.ProgramLeftMS) * time.Millisecond
--- a/internal/sched/roster/ratecap.go
+++ b/internal/sched/roster/ratecap.go
@@ -51,6 +51,12 @@
 	return c.InForce != other.InForce || math.Abs(c.PerSecond-other.PerSecond) > capStep*other.PerSecond
 }
 
+// sustained returns the number of requests that run at a time at the capped rate, if each takes the typical time. It returns
+// false if there is no cap or no typical time.
+func (c RateCap) sustained(typical time.Duration) (requests float64, ok bool) {
+	return c.PerSecond * typical.Seconds(), c.InForce && typical > 0
+}
+
 // RecordCap records a report, and returns whether it changes what is known of the upstream. Of several reports the one that
 // was seen last applies.
 func (t *Table) RecordCap(r CapReport) (changed bool) {
--- a/internal/sched/roster/ratecap_test.go
+++ b/internal/sched/roster/ratecap_test.go
@@ -84,3 +84,36 @@
 		is.True(!ok)
 	}
 }
+
+// TestUsageCountsWhatACapSustains guards against programs that start because of free slots at upstreams that accept few requests.
+func TestUsageCountsWhatACapSustains(t *testing.T) {
+	tests := []struct {
+		name      string
+		perSecond float64
+		typical   time.Duration
+		slots     int
+	}{
+		{"a tenth of a slot each", 1, 100 * time.Millisecond, 16},
+		{"two slots each", 20, 100 * time.Millisecond, 20},
+		{"more than the slots", 1000, 100 * time.Millisecond, 48},
+		{"time unknown", 1, 0, 48},
+		{"accepts none", 0, 100 * time.Millisecond, 16},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			tb := New()
+			for _, id := range []string{"x", "y", "z"} {
+				tb.Update(Upstream{Instance: id, Service: "s", Slots: 16})
+				tb.RecordLoad(id, Load{Running: 2, Slots: 16}, now)
+			}
+			for _, id := range []string{"x", "y"} {
+				tb.RecordCap(CapReport{Start: Start{Instance: id}, Cap: RateCap{tt.perSecond, true}, SeenAt: now})
+			}
+			slots, held := tb.Usage(UsageQuery{Service: "s", Typical: tt.typical}, now)
+			is.Equal(slots, tt.slots)
+			is.Equal(held, 6.0) // What runs there counts all the same.
+		})
+	}
+}
