httpc, runner: bytes with an invalid status code are no answer

What callers saw: a worker's status 600 or 999 as the answer; after 000 to 099 nothing until the deadline (504), or whatever followed on the connection. In the product's own form, status 0, 99, 101, 600 or 999 as the result of a service, and a promise that a model call had not run.

Cause: http.ReadResponse accepts any three digits, and the code compared with the classes that it knew.

Change: one check, CheckStatus, for gateways and sidecars.

--- a/internal/role/runner/upstream.go
+++ b/internal/role/runner/upstream.go
@@ -16,6 +16,7 @@
 	"galenaward.example/galenaward/internal/plat/telem"
 	"galenaward.example/galenaward/internal/state/prog"
 	"galenaward.example/galenaward/internal/wire/chat"
+	"galenaward.example/galenaward/internal/wire/httpc"
 	"galenaward.example/galenaward/internal/wire/peer"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -194,6 +195,11 @@
 	req.Header.Set("Galenaward-Program", j.req.Program)
 	u.Tracer.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := u.Client.Do(req)
+	if err == nil {
+		if err = httpc.CheckStatus(resp.StatusCode); err != nil {
+			resp.Body.Close()
+		}
+	}
 	if err == nil && isUnframed(resp) {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, ctx: ctx, write: write}
 	}
--- a/internal/role/runner/upstream_test.go
+++ b/internal/role/runner/upstream_test.go
@@ -213,3 +213,22 @@
 		t.Errorf("%d requests over %d connections", requests+requests/2, conns.Load())
 	}
 }
+
+// TestInvalidStatusIsNoAnswer guards against bytes whose status code is none of HTTP's that are passed on as the result of a
+// service, and against a promise that the request has not run.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for _, req := range []peer.RunRequest{serviceRequest("s", "x"), modelRequest("m")} {
+			u := newRawUpstream(t, func(c net.Conn, br *bufio.Reader) {
+				if r, err := http.ReadRequest(br); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			last, f := runOnce(t, u, req)
+			if f == nil || f.Outcome != fault.Unknown || last.Kind == frame.Done {
+				t.Errorf("status %s, request %s: last frame %q, fault %v", status, req.ID, last.Kind, f)
+			}
+		}
+	}
+}
--- a/internal/wire/httpc/exchange.go
+++ b/internal/wire/httpc/exchange.go
@@ -36,6 +36,8 @@
 	ErrUnsent = errors.New("request was not sent")
 	// ErrMismatchedResponse means that only responses to other requests arrived, or one that may belong to another.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrInvalidStatus means that bytes arrived whose status code is none of a response.
+	ErrInvalidStatus = errors.New("status code is none of a response")
 	// ErrHeaderTooLarge means that the status line and headers of a response exceed the limit.
 	ErrHeaderTooLarge = errors.New("response headers are too large")
 )
@@ -177,9 +179,12 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInformational(resp.StatusCode) {
 			continue
 		}
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return err
+		}
 		e.c.headerLeft = -1
 		switch id := responseID(resp.Header); {
 		case id == q.ID, id == "" && len(e.c.carried) == 1:
@@ -196,6 +201,23 @@
 	return ErrMismatchedResponse
 }
 
+// isInformational reports whether another response follows. A switch of protocols, which no request asks for, ends HTTP.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// CheckStatus returns an error marked with ErrInvalidStatus if the status code is none of a final response. http.ReadResponse
+// accepts any three digits.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Wrapf(ErrInvalidStatus, "status %03d", status)
+	}
+	return nil
+}
+
 // isWritten reports whether the write of the request has ended.
 func (e *exchange) isWritten() bool {
 	select {
