gate, runner, sidec: the memory of all answers together is bounded

What callers saw: a process that runs out of memory ends, and the requests of all its callers with it, since an upstream sends bytes without end in answer to many requests at once (reported by other operators).

Cause: each answer had a bound, all together had none. A home keeps the frames of a turn until five seconds after its end; plain answers are read up to 256 KB first, for HTTP/1.0 callers up to 4 MB. Sidecars accepted heads of 10 MB, answers of models and lists of engines of any size.

Ruled out: single answers (TestUnboundedResponses and TestUnboundedStream pass on the code before).

Change: a budget for answers, answer_memory_mb, of which ordinary answers use nothing; bounds for heads, models' answers and lists.

--- a/internal/plat/config/limits.go
+++ b/internal/plat/config/limits.go
@@ -30,6 +30,9 @@
 	// RequestMemoryMB bounds the memory of requests that are read and not yet answered; zero for a quarter of memory_mb,
 	// which leaves half for what the garbage collector has not freed.
 	RequestMemoryMB int64 `json:"request_memory_mb"`
+	// AnswerMemoryMB bounds the memory of answers that are held, beyond a part of each that an ordinary one does not exceed;
+	// zero for an eighth of memory_mb.
+	AnswerMemoryMB int64 `json:"answer_memory_mb"`
 	// RequestMemoryWaitMS is how long a request waits for memory before it is refused. The default is short against the
 	// time limits of routes.
 	RequestMemoryWaitMS int64 `json:"request_memory_wait_ms"`
@@ -41,9 +44,10 @@
 	// connectionMemory is the memory of a connection that carries a small request: two stacks, the buffers of the server,
 	// the part of a head that is not reserved, and a connection to an upstream.
 	connectionMemory = 32 << 10
-	// connectionShare and requestShare are the divisors of memory_mb for connections and for requests.
+	// connectionShare, requestShare and answerShare are the divisors of memory_mb for connections, requests and answers.
 	connectionShare = 4
 	requestShare    = 4
+	answerShare     = 8
 	// leastConnections is the number of connections that are accepted whatever the memory is.
 	leastConnections = 64
 )
@@ -67,6 +71,7 @@
 	errs = append(errs, checkMin("write_timeout_ms", l.WriteTimeoutMS, 10)...)
 	errs = append(errs, checkMin("idle_timeout_ms", l.IdleTimeoutMS, 10)...)
 	errs = append(errs, checkMin("request_memory_mb", l.RequestMemoryMB, 0)...)
+	errs = append(errs, checkMin("answer_memory_mb", l.AnswerMemoryMB, 0)...)
 	return append(errs, checkMin("request_memory_wait_ms", l.RequestMemoryWaitMS, 0)...)
 }
 
@@ -97,5 +102,13 @@
 // callers cannot use it up.
 func (g *Gateway) PeerRequestMemory() int64 { return g.RequestMemory() / 2 }
 
+// AnswerMemory returns the bound on the memory of answers in bytes.
+func (g *Gateway) AnswerMemory() int64 {
+	if g.AnswerMemoryMB > 0 {
+		return g.AnswerMemoryMB << 20
+	}
+	return g.MemoryMB << 20 / answerShare
+}
+
 // RequestMemoryWait returns how long a request waits for memory.
 func (l *CallerLimits) RequestMemoryWait() time.Duration { return Millis(l.RequestMemoryWaitMS) }
--- a/internal/plat/serve/budget.go
+++ b/internal/plat/serve/budget.go
@@ -21,7 +21,7 @@
 // ErrBudget is returned by reads of a body for which there is no memory. The request has not run.
 var ErrBudget = errors.New("no memory for the request")
 
-// Budget bounds the memory for data of requests that are read and not yet answered. A nil budget has no bound. Without
+// Budget bounds the memory for data of requests that are read and not yet answered, or of answers. A nil budget has no bound. Without
 // pressure a reservation is one atomic operation.
 type Budget struct {
 	total atomic.Int64
@@ -83,6 +83,9 @@
 	}
 }
 
+// TryReserve is Reserve without a wait.
+func (b *Budget) TryReserve(n, held int64) bool { return b == nil || b.try(n, held) }
+
 func (b *Budget) try(n, held int64) bool {
 	bound := b.total.Load()
 	if held+n > smallRequest {
--- a/internal/plat/serve/client.go
+++ b/internal/plat/serve/client.go
@@ -10,6 +10,8 @@
 	dialTimeout         = time.Second
 	clientIdleTimeout   = 20 * time.Second
 	maxIdleConnsPerPeer = 64
+	// maxHeadBytes bounds the status line and headers of a response. The default of http.Transport is 10 MB for each.
+	maxHeadBytes = 64 << 10
 )
 
 // ClientOption configures a client.
@@ -24,7 +26,7 @@
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
 	t := &http.Transport{
 		DialContext: d.DialContext, IdleConnTimeout: clientIdleTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerPeer, DisableCompression: true,
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	for _, o := range opts {
 		o(t)
--- a/internal/role/gate/dispatch.go
+++ b/internal/role/gate/dispatch.go
@@ -148,13 +148,15 @@
 		w.Head(resp.Status, g.codec.ResponseHeaders(resp.Header), -1)
 		return true, g.relay(ctx, a, u, w, resp.Status, resp.Body)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	held := g.HoldAnswer()
+	defer held.Release()
+	buffered, whole, err := readAnswer(resp.Body, held)
 	if err != nil {
 		g.recordBroken(ctx, a, u, err)
 		return false, nil
 	}
 	h := g.codec.ResponseHeaders(resp.Header)
-	if len(buffered) < maxBufferedAnswer {
+	if whole {
 		g.recordAnswer(a.job, u, resp.Status)
 		g.recordLatency(u, a.route.Name, time.Since(began), true)
 		g.learnCall(u, a.route.Name, time.Since(began), true)
--- a/internal/role/gate/gateway.go
+++ b/internal/role/gate/gateway.go
@@ -84,6 +84,8 @@
 	shutdown    *serve.Shutdown
 	// peerBudget bounds the memory of requests of other gateways.
 	peerBudget *serve.Budget
+	// answerBudget bounds the memory of answers that are held.
+	answerBudget *serve.Budget
 	// listed is set once the upstreams have been read from the store.
 	listed atomic.Bool
 }
@@ -114,8 +116,9 @@
 		initialTimeLeft: newMemo[time.Duration](maxInitialTimes),
 		allowances:      newAllowances(),
 		suspects:        newCrashSuspects(), notices: newNotifier(), policy: admit.DefaultPolicy(),
-		shutdown:   serve.NewShutdown(),
-		peerBudget: serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()),
+		shutdown:     serve.NewShutdown(),
+		peerBudget:   serve.NewBudget(s.PeerRequestMemory(), s.RequestMemoryWait()),
+		answerBudget: serve.NewBudget(s.AnswerMemory(), 0),
 	}
 	gt.pool = httpc.NewPool(httpc.WithOnOpen(func(address string, took time.Duration) {
 		d.Metrics.Add("upstream_connections", 1)
@@ -136,6 +139,7 @@
 	gt.permits = newPermits(gt)
 	d.Metrics.Gauge("cold_upstreams", gt.coldUpstreams)
 	d.Metrics.Gauge("capped_upstreams", gt.cappedUpstreams)
+	d.Metrics.Gauge("answer_memory_bytes", gt.answerBudget.Used)
 	if _, err := serve.Start(g, s.ListenPeers, gt.peerHandler(d.Store), serve.Options{
 		ReadTimeout: peerReadTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 		MaxConnections: s.PeerConnections(), MaxHeaderBytes: maxPeerHeadBytes, MaxHeaderLines: maxPeerHeadLines,
@@ -159,6 +163,9 @@
 // SetPeerMemory changes the bound on the memory of other gateways' requests.
 func (g *Gateway) SetPeerMemory(bytes int64) { g.peerBudget.SetTotal(bytes) }
 
+// SetAnswerMemory changes the bound on the memory of answers.
+func (g *Gateway) SetAnswerMemory(bytes int64) { g.answerBudget.SetTotal(bytes) }
+
 // logEvent logs an event and counts it in the metrics.
 func (g *Gateway) logEvent(event string, kv ...any) {
 	g.metrics.Add("event_"+event, 1)
--- a/internal/role/gate/localturn.go
+++ b/internal/role/gate/localturn.go
@@ -80,7 +80,9 @@
 		}
 		return w.Write(p.Body)
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace, local: true}
+	held := g.HoldAnswer()
+	defer held.Release()
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: j.workspace, local: true, held: held}
 	b, f := g.reserveLocally(ctx, q)
 	if f != nil {
 		return f
--- a/internal/role/gate/peers.go
+++ b/internal/role/gate/peers.go
@@ -74,7 +74,7 @@
 	}
 	c := &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: maxIdlePeerConns,
-		DisableCompression: true,
+		DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes,
 	}}
 	return &peerClient{self: self, client: c, fetcher: &frame.Fetcher{Client: c, SilenceTimeout: peerSilenceTimeout}}
 }
--- a/internal/role/gate/runturn.go
+++ b/internal/role/gate/runturn.go
@@ -46,12 +46,14 @@
 	headSent bool
 	// local says that the turn runs where it arrived.
 	local bool
+	// held accounts for the memory of the answer.
+	held *HeldAnswer
 	// programStarted means that the program started before this turn.
 	programStarted bool
 }
 
-// runTurn runs a turn of a program whose partition this process owns.
-func (g *Gateway) runTurn(ctx context.Context, q *turnRequest, out sink) *fault.Fault {
+// runTurn runs a turn of a program whose partition this process owns. The caller releases held.
+func (g *Gateway) runTurn(ctx context.Context, q *turnRequest, out sink, held *HeldAnswer) *fault.Fault {
 	p, ok := g.owner.HeldPartition(q.Partition)
 	if !ok {
 		return g.refuse(fault.ProgramMoved, "home", "partition %d is not owned by this process", q.Partition)
@@ -65,7 +67,7 @@
 	if f != nil {
 		return f
 	}
-	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: w}
+	t := &turnExecution{turnRequest: q, gateway: g, out: out, workspace: w, held: held}
 	if f := t.begin(ctx, p); f != nil {
 		return f
 	}
--- a/internal/role/gate/stream.go
+++ b/internal/role/gate/stream.go
@@ -56,7 +56,7 @@
 	case errors.As(err, &gone):
 		return false, t.abandon(u, gone.cause)
 	default:
-		g.recordBroken(ctx, a, u, err)
+		g.recordEnd(ctx, a, u, err)
 		if t.resume(ctx, a) {
 			return true, nil
 		}
@@ -69,6 +69,16 @@
 	return false, t.finish(ctx, resp.Status)
 }
 
+// recordEnd records an answer that broke off, or that this process cut off for lack of memory, which is no sign of a crash.
+func (g *Gateway) recordEnd(ctx context.Context, a *attempts, u roster.Upstream, err error) {
+	if !errors.Is(err, ErrAnswerMemory) {
+		g.recordBroken(ctx, a, u, err)
+		return
+	}
+	a.lastErr = err
+	g.recordFailure(ctx, a, u, roster.Broken, err)
+}
+
 // recordEventLatency records the average time between an engine's events. The first event arrives with the start of the
 // answer and is not counted.
 func (t *turnExecution) recordEventLatency(u roster.Upstream, events int64, took time.Duration, whole bool) {
@@ -120,6 +130,9 @@
 		if left -= n; left < 0 {
 			return errors.Newf("the answer has more than %d bytes", t.maxAnswerBytes())
 		}
+		if err := t.held.Add(n); err != nil {
+			return err
+		}
 		if werr := t.forward(buf[:n], err == io.EOF); werr != nil {
 			return &callerGoneError{werr}
 		}
--- a/internal/role/gate/turn.go
+++ b/internal/role/gate/turn.go
@@ -166,7 +166,9 @@
 	q.Try++
 	q.LeftMS = time.Until(deadline).Milliseconds()
 	if self {
-		return g.runTurn(ctx, q, out)
+		held := g.HoldAnswer()
+		defer held.Release()
+		return g.runTurn(ctx, q, out, held)
 	}
 	if f := g.checkRelay(ctx, address, q); f != nil {
 		return f
@@ -274,19 +276,21 @@
 	g.group.Go(func(context.Context) error {
 		defer release()
 		defer cancel()
+		held := g.HoldAnswer()
 		f := g.runTurn(ctx, q, func(p answerPart) error {
 			b, err := json.Marshal(p)
 			if err == nil {
 				buf.Chunk(b)
 			}
 			return err
-		})
+		}, held)
 		if f != nil {
 			buf.Fail(f)
 		} else {
 			buf.Done(nil)
 		}
-		g.streams.RemoveLater(id)
+		held.End()
+		g.streams.RemoveLater(id, held.Release)
 		return nil
 	})
 	return buf, cancel
--- a/internal/role/peers/vmlist.go
+++ b/internal/role/peers/vmlist.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -87,6 +88,9 @@
 	}
 }
 
+// maxListBytes bounds the list; an entry takes some 200 bytes.
+const maxListBytes = 16 << 20
+
 func (l *VMList) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.interval+time.Second)
 	defer cancel()
@@ -105,7 +109,7 @@
 	var body struct {
 		VMs []json.RawMessage `json:"vms"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&body); err != nil {
 		return errors.Wrap(err, "decode VM list")
 	}
 	vms := make([]VM, 0, len(body.VMs))
--- a/internal/role/runner/upstream.go
+++ b/internal/role/runner/upstream.go
@@ -26,8 +26,21 @@
 	stepUpstream    = "upstream"
 	maxServiceBytes = 4 << 20
 	maxErrorBytes   = 4096
+	// minModelBytes and maxModelBytes bound the size from which an engine's answer counts as endless, tokenBytes is the most
+	// that a token takes: its chunk with the most probable alternatives.
+	minModelBytes, maxModelBytes = 256 << 10, 64 << 20
+	tokenBytes                   = 4 << 10
 )
 
+// modelBytes returns the size of the largest answer to the call. A call that states no maximum of tokens may be answered with
+// maxModelBytes.
+func modelBytes(c *peer.ModelCall) int64 {
+	if c.MaxTokens <= 0 {
+		return maxModelBytes
+	}
+	return max(minModelBytes, min(c.MaxTokens, maxModelBytes/tokenBytes)*tokenBytes)
+}
+
 const (
 	completionsPath    = "/v1/chat/completions"
 	maxUpstreamResumes = 3
@@ -110,8 +123,11 @@
 		return result{fault: fault.New(fault.InvalidRequest, stepUpstream, u.VM, "%s", err)}
 	}
 	var acc chat.Accumulator
-	events := 0
+	events, left := 0, modelBytes(j.req.Model)
 	emit := func(data []byte) error {
+		if left -= int64(len(data)); left < 0 {
+			return u.endlessFault()
+		}
 		c, err := chat.ParseChunk(data)
 		if err != nil {
 			return errors.Wrap(err, "engine sent an invalid JSON chunk")
@@ -137,6 +153,11 @@
 	return result{cost: cost(acc.Usage)}
 }
 
+// endlessFault ends an answer that is not resumed, unlike one that broke off.
+func (u *Upstream) endlessFault() error {
+	return fault.New(fault.UpstreamFailed, stepUpstream, u.VM, "engine sent more bytes than its tokens take").WithOutcome(fault.Ran)
+}
+
 func (u *Upstream) priority(j *job) *int64 {
 	if !u.SendPriorities {
 		return nil
--- a/internal/role/runner/upstream_test.go
+++ b/internal/role/runner/upstream_test.go
@@ -232,3 +232,40 @@
 		}
 	}
 }
+
+// TestEndlessAnswersAreBounded guards against a sidecar that runs out of memory since an upstream sends a head or a body without
+// end.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	tests := []struct {
+		name, head, line string
+		request          peer.RunRequest
+	}{
+		{"head", "HTTP/1.1 200 OK\r\n", "X-More: " + strings.Repeat("y", 1000) + "\r\n", serviceRequest("s", "x")},
+		{"head of a model", "HTTP/1.1 200 OK\r\n", "X-More: " + strings.Repeat("y", 1000) + "\r\n", modelRequest("m")},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("y", 1000), serviceRequest("s", "x")},
+		{"event", "HTTP/1.1 200 OK\r\n\r\ndata: ", strings.Repeat("y", 1000), modelRequest("m")},
+		{
+			"events", "HTTP/1.1 200 OK\r\n\r\n",
+			`data: {"id":"c","choices":[{"index":0,"delta":{"content":"` + strings.Repeat("y", 1000) + `"}}]}` + "\n\n", modelRequest("m"),
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var sent atomic.Int64
+			u := newRawUpstream(t, func(c net.Conn, br *bufio.Reader) {
+				if r, err := http.ReadRequest(br); err != nil || r.Method == http.MethodGet {
+					return
+				}
+				n, err := io.WriteString(c, tt.head)
+				for ; err == nil; n, err = io.WriteString(c, tt.line) {
+					sent.Add(int64(n))
+				}
+			})
+			_, f := runOnce(t, u, tt.request)
+			// The limit includes the kernel's socket buffers.
+			if f == nil || f.Outcome == fault.NotRun || sent.Load() > 8<<20 {
+				t.Errorf("%d bytes taken, fault %v", sent.Load(), f)
+			}
+		})
+	}
+}
--- a/internal/role/sidec/models.go
+++ b/internal/role/sidec/models.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -63,7 +62,7 @@
 			ID string `json:"id"`
 		} `json:"data"`
 	}
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&body) != nil {
+	if resp.StatusCode != http.StatusOK || decodeEngine(resp.Body, &body) != nil {
 		return nil
 	}
 	var out []string
--- a/internal/role/sidec/orders.go
+++ b/internal/role/sidec/orders.go
@@ -93,7 +93,7 @@
 	var body struct {
 		Orders []engineOrder `json:"orders"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := decodeEngine(resp.Body, &body); err != nil {
 		return nil, errors.Wrapf(err, "decode orders of the engine on %s", s.vm)
 	}
 	return body.Orders, nil
--- a/internal/role/sidec/sweeper.go
+++ b/internal/role/sidec/sweeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -146,7 +145,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := decodeEngine(resp.Body, &body); err != nil {
 		return nil, errors.Wrap(err, "decode residencies of the engine")
 	}
 	return body.Residencies, nil
--- a/internal/wire/frame/streams.go
+++ b/internal/wire/frame/streams.go
@@ -55,11 +55,14 @@
 	}
 }
 
-// RemoveLater removes the stream after endedRetention.
-func (s *Streams) RemoveLater(id string) {
+// RemoveLater removes the stream after endedRetention, and then calls the functions.
+func (s *Streams) RemoveLater(id string, removed ...func()) {
 	time.AfterFunc(endedRetention, func() {
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		delete(s.m, id)
+		s.mu.Unlock()
+		for _, f := range removed {
+			f()
+		}
 	})
 }
