--- a/internal/role/gate/permitgrant.go
+++ b/internal/role/gate/permitgrant.go
@@ -86,7 +86,7 @@
 func (g *Gateway) grantPermit(a permitAsk) permitGrant {
 	out := permitGrant{Instance: a.Instance}
 	now := time.Now()
-	since, until, ok := g.owner.LeasedSince(g.coldPartition(a.Instance))
+	since, until, ok := g.owner.LeasedSince(g.permitPartition(a.Instance))
 	if !ok || !now.Before(until) {
 		out.Moved = true
 		return out
@@ -119,7 +119,8 @@
 	perSecond float64
 	// validity is how long the permits may be used; zero means permit.Validity.
 	validity time.Duration
-	cap      roster.RateCap
+	// cap is the upstream's rate cap, of which peers are told if it changed.
+	cap roster.RateCap
 }
 
 // newPermitTerms returns the terms for an upstream of a service that may have a limit for cold upstreams. Known is what is known
--- a/internal/role/gate/permits.go
+++ b/internal/role/gate/permits.go
@@ -59,8 +59,11 @@
 	}
 }
 
-// coldPartition returns the partition whose holder grants the permits of the upstream.
-func (g *Gateway) coldPartition(instance string) int { return g.owner.PartitionOf("cold/" + instance) }
+// permitPartition returns the partition whose holder grants the permits of the upstream. Older versions use the same name of the
+// key, for cold upstreams only.
+func (g *Gateway) permitPartition(instance string) int {
+	return g.owner.PartitionOf("cold/" + instance)
+}
 
 // held returns the upstreams for which there is a valid permit.
 func (p *permits) held(now time.Time) []string {
@@ -98,7 +101,7 @@
 	p.borrowers[instance] = p.borrowers[instance].WithWanted()
 	p.services[instance] = service
 	p.mu.Unlock()
-	p.notify()
+	p.signal()
 }
 
 // report tells the allocator of the upstream in the background what this gateway knows of its rate cap.
@@ -106,11 +109,11 @@
 	p.mu.Lock()
 	p.reports[instance] = service
 	p.mu.Unlock()
-	p.notify()
+	p.signal()
 }
 
-// notify makes askPermits send messages.
-func (p *permits) notify() {
+// signal makes askPermits send messages.
+func (p *permits) signal() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -210,7 +213,7 @@
 // addAsk adds what is asked of an upstream's allocator to the message to it. It returns false if no allocator is known. The
 // caller holds the lock.
 func (p *permits) addAsk(messages map[string]*permitMessage, a permitAsk, now time.Time) (known bool) {
-	address, self, known := p.gateway.owner.AddressOf(p.gateway.coldPartition(a.Instance))
+	address, self, known := p.gateway.owner.AddressOf(p.gateway.permitPartition(a.Instance))
 	if !known {
 		return false
 	}
